--- /dev/null
+++ b/examples/deployment.py
@@ -0,0 +1,481 @@
+"""A whole deployment as separate processes on loopback.
+
+For the quick start, the tests and the benches: it starts the platform's
+stand-ins, engines, services and routers, and stops, kills, freezes and
+thaws each of them by its process id.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import hashlib
+import os
+import pathlib
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+
+import aiohttp
+import yaml
+
+OPERATOR_KEY = "operator-key"
+HOST = "127.0.0.1"
+READY_TIMEOUT_S = 40
+
+
+def sha256(text: str) -> str:
+    """Return the hash under which a key is stored."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nothing listens on."""
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            sock = stack.enter_context(socket.socket())
+            sock.bind((HOST, 0))
+            ports.append(sock.getsockname()[1])
+        return ports
+
+
+@dataclasses.dataclass
+class Shape:
+    """What a deployment consists of.
+
+    :param centres: the data centres.
+    :param routers: routers in each data centre.
+    :param engines: engines in each data centre.
+    :param services: service instances in each data centre.
+    :param engine_options: further options of every engine.
+    :param settings: sections merged into every router's settings.
+    :param promise: the spec of ``promise/fleet``.
+    :param teams: name to spec, over the defaults.
+    """
+
+    centres: list[str] = dataclasses.field(default_factory=lambda: ["mid-a"])
+    routers: int = 3
+    engines: int = 3
+    services: int = 1
+    engine_slots: int = 8
+    engine_options: dict = dataclasses.field(default_factory=dict)
+    settings: dict = dataclasses.field(default_factory=dict)
+    promise: dict = dataclasses.field(default_factory=dict)
+    teams: dict = dataclasses.field(default_factory=dict)
+    service_spec: dict = dataclasses.field(default_factory=dict)
+    list_lag_ms: int = 300
+    retention_ms: int = 172_800_000
+
+
+class Process:
+    """One process of the deployment."""
+
+    def __init__(self, name: str, args: list[str], log: pathlib.Path) -> None:
+        self.name = name
+        self.args = args
+        self.log = log
+        self.popen: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start it; its output goes to a file of its own."""
+        with open(self.log, "ab") as out:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", *self.args], stdout=out, stderr=out
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to this process."""
+        if self.popen is not None and self.popen.poll() is None:
+            os.kill(self.popen.pid, number)
+
+    def wait(self, timeout_s: float) -> int:
+        """Wait for its end; return its exit status."""
+        return self.popen.wait(timeout_s)
+
+
+class Deployment:
+    """Processes, addresses and keys of one deployment."""
+
+    def __init__(self, shape: Shape) -> None:
+        self.shape = shape
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="bulrushdale-"))
+        self.processes: dict[str, Process] = {}
+        self.urls: dict[str, str] = {}
+        self.vms: dict[str, dict] = {}
+        self.router_ports: dict[str, tuple[int, int, int]] = {}
+        self.session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "Deployment":
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        )
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for process in self.processes.values():
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+        for process in self.processes.values():
+            if process.popen is not None:
+                process.popen.wait()
+        await self.session.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    async def _start(self) -> None:
+        shape = self.shape
+        log_port, list_port = free_ports(2)
+        self._standin(
+            "log", "log", log_port, "--retention-ms", str(shape.retention_ms)
+        )
+        self._standin(
+            "vm-list", "vm_list", list_port, "--lag-ms", str(shape.list_lag_ms)
+        )
+        for centre in shape.centres:
+            for number in range(shape.engines):
+                self._target(centre, "engine", f"{centre}-engine-{number}")
+            for number in range(shape.services):
+                self._target(centre, "service", f"{centre}-order-{number}")
+        for centre in shape.centres:
+            for number in range(shape.routers):
+                self._plan_router(centre, f"{centre}-router-{number}")
+        await self.wait_listening()
+        await self.publish_vms()
+        for name in self.router_names():
+            self.processes[name].start()
+        await self.wait_listening()
+        await self.apply(self.entries())
+        await self.wait_ready()
+
+    def _standin(self, name: str, module: str, port: int, *more: str) -> None:
+        args = [f"examples.standins.{module}", "--port", str(port), *more]
+        process = Process(name, args, self.folder / f"{name}.log")
+        self.processes[name] = process
+        self.urls[name] = f"http://{HOST}:{port}"
+        process.start()
+
+    def _target(self, centre: str, module: str, name: str) -> None:
+        (port,) = free_ports(1)
+        more: list[str] = []
+        if module == "engine":
+            options = {
+                "slots": self.shape.engine_slots + 2,
+                "name": name,
+                **self.shape.engine_options,
+            }
+            for key, value in options.items():
+                more += [f"--{key.replace('_', '-')}", str(value)]
+        self._standin(name, module, port, *more)
+        self.vms[name] = {
+            "name": name,
+            "role": "target",
+            "data_centre": centre,
+            "address": self.urls[name],
+            "state": "live",
+        }
+
+    def _plan_router(self, centre: str, name: str) -> None:
+        ports = free_ports(3)
+        caller, operator, link = ports
+        settings = {
+            "router": name,
+            "data_centre": centre,
+            "listen": {
+                "host": HOST,
+                "caller_port": caller,
+                "operator_port": operator,
+                "link_port": link,
+            },
+            "platform": {
+                "log_url": self.urls["log"],
+                "vm_list_url": f"{self.urls['vm-list']}/vms?viewer={name}",
+                "retention_ms": self.shape.retention_ms,
+                "poll_interval_ms": 500,
+            },
+            "fleet_secret": "a-secret-of-the-fleet",
+            "answer_secrets": ["a-secret-for-answers"],
+            "operator_key_sha256": [sha256(OPERATOR_KEY)],
+            "limits": {"drain_notice_ms": 1000},
+        }
+        for section, values in self.shape.settings.items():
+            if isinstance(values, dict):
+                settings[section] = {**settings.get(section, {}), **values}
+            else:
+                settings[section] = values
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        self.router_ports[name] = (caller, operator, link)
+        self.urls[name] = f"http://{HOST}:{caller}"
+        self.urls[f"{name}/operator"] = f"http://{HOST}:{operator}"
+        self.processes[name] = Process(
+            name,
+            ["bulrushdale.cli", "router", "--config", str(path)],
+            self.folder / f"{name}.log",
+        )
+        self.vms[name] = {
+            "name": name,
+            "role": "router",
+            "data_centre": centre,
+            "address": f"{HOST}:{link}",
+            "state": "live",
+            "operator_address": f"http://{HOST}:{operator}",
+        }
+
+    def router_names(self, centre: str | None = None) -> list[str]:
+        """Return the routers of one data centre or all."""
+        return [
+            name
+            for name in self.router_ports
+            if centre is None or self.vms[name]["data_centre"] == centre
+        ]
+
+    def engine_names(self) -> list[str]:
+        """Return all engines."""
+        return [name for name in self.vms if "-engine-" in name]
+
+    def service_names(self) -> list[str]:
+        """Return all service instances."""
+        return [name for name in self.vms if "-order-" in name]
+
+    def entries(self) -> list[tuple[str, str, dict]]:
+        """Return the catalogue that the deployment starts with."""
+        shape = self.shape
+        found = [
+            ("promise", "fleet", shape.promise),
+            (
+                "class",
+                "gold",
+                {"weight": 8, "queue_ms": 10_000, "engine_priority": 9},
+            ),
+            (
+                "class",
+                "bronze",
+                {"weight": 1, "queue_ms": 20_000, "engine_priority": 1},
+            ),
+            ("pool", "chat", {"model": "loaf-1"}),
+            ("service", "orders", shape.service_spec),
+        ]
+        teams = {"bakery": {}, "agencia": {"class_of_service": "bronze"}}
+        for name, spec in {**teams, **shape.teams}.items():
+            default = {
+                "owner": name,
+                "class_of_service": "gold",
+                "key_sha256": [sha256(f"{name}-key")],
+            }
+            found.append(("team", name, {**default, **spec}))
+        for name in self.engine_names() + self.service_names():
+            pool = "chat" if "-engine-" in name else "orders"
+            found.append(
+                (
+                    "target",
+                    name,
+                    {
+                        "pool": pool,
+                        "data_centre": self.vms[name]["data_centre"],
+                        "url": self.urls[name],
+                        "slots": shape.engine_slots,
+                    },
+                )
+            )
+        return found
+
+    async def wait_listening(self) -> None:
+        """Wait until every started process accepts connections."""
+        for name, process in self.processes.items():
+            if process.popen is None:
+                continue
+            urls = [self.urls[name]]
+            if f"{name}/operator" in self.urls:
+                urls.append(self.urls[f"{name}/operator"])
+            for url in urls:
+                await self._wait_port(process, int(url.rpartition(":")[2]))
+
+    async def _wait_port(self, process: Process, port: int) -> None:
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < deadline:
+            if process.popen.poll() is not None:
+                raise RuntimeError(process.log.read_text()[-3000:])
+            try:
+                _, writer = await asyncio.open_connection(HOST, port)
+                writer.close()
+                return
+            except OSError:
+                await asyncio.sleep(0.05)
+        raise RuntimeError(f"{process.name} does not listen on {port}")
+
+    async def wait_ready(self, names: list[str] | None = None) -> None:
+        """Wait until routers are ready and linked to their peers."""
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        for name in names or self.router_names():
+            while not await self._ready(name):
+                if time.monotonic() > deadline:
+                    log = self.processes[name].log.read_text()[-3000:]
+                    raise RuntimeError(f"{name} is not ready: {log}")
+                await asyncio.sleep(0.1)
+
+    async def _ready(self, name: str) -> bool:
+        try:
+            status, _ = await self.operator(name, "GET", "/readyz")
+            if status != 200:
+                return False
+            _, fleet = await self.operator(name, "GET", "/fleet")
+        except aiohttp.ClientError:
+            return False
+        centre = self.vms[name]["data_centre"]
+        alive = [
+            other
+            for other in self.router_names(centre)
+            if self.processes[other].popen is not None
+            and self.processes[other].popen.poll() is None
+        ]
+        local = [x for x in fleet["links"] if x["data_centre"] == centre]
+        attached = (
+            all(seat["home"] in alive for seat in fleet["seats"])
+            and len(fleet["seats"]) >= 2
+        )
+        shares = all(desk["share"] == 1.0 for desk in fleet["desks"])
+        return len(local) >= len(alive) - 1 and attached and shares
+
+    async def operator(
+        self, name: str, method: str, path: str, **options: typing.Any
+    ) -> tuple[int, typing.Any]:
+        """Call a router's operator port."""
+        headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+        headers.update(options.pop("headers", {}))
+        url = self.urls[f"{name}/operator"] + path
+        async with self.session.request(
+            method, url, headers=headers, **options
+        ) as response:
+            return response.status, await response.json()
+
+    async def apply(self, entries: list[tuple[str, str, dict]]) -> None:
+        """Create entries that do not exist yet."""
+        name = self.router_names()[0]
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        for kind, entry, spec in entries:
+            while True:
+                status, answer = await self.operator(
+                    name,
+                    "PUT",
+                    f"/catalogue/{kind}/{entry}",
+                    json=spec,
+                    headers={"If-None-Match": "*"},
+                )
+                if status == 200:
+                    break
+                if status != 503 or time.monotonic() > deadline:
+                    raise RuntimeError(f"{kind}/{entry}: {answer}")
+                await asyncio.sleep(0.1)
+
+    async def change(self, kind: str, entry: str, **fields: object) -> int:
+        """Change fields of an entry; return its new revision."""
+        name = self.router_names()[0]
+        path = f"/catalogue/{kind}/{entry}"
+        _, held = await self.operator(name, "GET", path)
+        status, answer = await self.operator(
+            name,
+            "PUT",
+            path,
+            json={**held["spec"], **fields},
+            headers={"If-Match": f'"{held["revision"]}"'},
+        )
+        if status != 200:
+            raise RuntimeError(str(answer))
+        return answer["revision"]
+
+    async def publish_vms(self) -> None:
+        """Give the platform's list the present state of the VMs."""
+        await self.post("vm-list", "/vms", list(self.vms.values()))
+
+    async def post(self, name: str, path: str, data: object) -> typing.Any:
+        """Post JSON to a stand-in."""
+        url = self.urls[name] + path
+        async with self.session.post(url, json=data) as response:
+            return await response.json()
+
+    async def get(self, name: str, path: str) -> typing.Any:
+        """Get JSON from a stand-in."""
+        async with self.session.get(self.urls[name] + path) as response:
+            return await response.json()
+
+    async def faults(self, name: str, **faults: object) -> None:
+        """Set faults of a stand-in."""
+        prefix = "/-" if name in self.service_names() else ""
+        await self.post(name, f"{prefix}/faults", faults)
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        self.processes[name].signal(signal.SIGKILL)
+        self.processes[name].wait(5)
+
+    def freeze(self, name: str) -> None:
+        """Suspend a process."""
+        self.processes[name].signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a suspended process go on."""
+        self.processes[name].signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> None:
+        """Ask a process to stop in an orderly way."""
+        self.processes[name].signal(signal.SIGTERM)
+
+    async def restart(self, name: str) -> None:
+        """Start a process again after its end."""
+        process = self.processes[name]
+        await asyncio.to_thread(process.popen.wait)
+        process.start()
+        await self.wait_listening()
+
+    async def chat(
+        self, router: str, team: str = "bakery", **body: typing.Any
+    ) -> tuple[int, typing.Any, typing.Mapping[str, str]]:
+        """Ask for a whole completion."""
+        data = {
+            "model": "loaf-1",
+            "messages": [{"role": "user", "content": "hello"}],
+            "max_tokens": 8,
+            **body,
+        }
+        async with self.session.post(
+            f"{self.urls[router]}/v1/chat/completions",
+            json=data,
+            headers={"Authorization": f"Bearer {team}-key"},
+        ) as response:
+            return response.status, await response.json(), response.headers
+
+    async def order(
+        self,
+        router: str,
+        key: str | None,
+        body: object = None,
+        team: str = "bakery",
+    ) -> tuple[int, typing.Any, typing.Mapping[str, str]]:
+        """Send an order that may run once."""
+        headers = {"Authorization": f"Bearer {team}-key"}
+        if key is not None:
+            headers["Idempotency-Key"] = key
+        async with self.session.post(
+            f"{self.urls[router]}/services/orders/loaves",
+            json=body or {"loaves": 2},
+            headers=headers,
+        ) as response:
+            return response.status, await response.json(), response.headers
+
+    async def effects(self) -> dict[str, int]:
+        """Return how often each key took effect, over all services."""
+        total: dict[str, int] = {}
+        for name in self.service_names():
+            stats = await self.get(name, "/-/stats")
+            for key, count in stats["effects"].items():
+                total[key] = total.get(key, 0) + count
+        return total
--- /dev/null
+++ b/src/bulrushdale/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Slots on targets: who may start what, where and when."""
--- /dev/null
+++ b/src/bulrushdale/admission/desks.py
@@ -0,0 +1,227 @@
+"""The desks that one router runs, and who is attached to them."""
+
+import collections
+import random
+import typing
+
+from bulrushdale.admission import desk as desk_module
+from bulrushdale.admission import queue
+from bulrushdale.catalogue import view as view_module
+from bulrushdale import clock as clock_module
+from bulrushdale.control import control_pb2 as pb
+from bulrushdale.fleet import links as links_module
+from bulrushdale.fleet import members as members_module
+from bulrushdale.fleet import targets as targets_module
+
+# How long an engine lets an answer run on whose reader is gone.
+DEAD_HOLD_MS = 5_000
+CUT_HOLD_MS = 20_000
+
+ShardKey = tuple[str, int]
+AnswerOwn = typing.Callable[[ShardKey, queue.Ask, desk_module.Reply], None]
+
+
+class Desks:
+    """All desks of one router.
+
+    :param own: this router's name.
+    :param view: the catalogue.
+    :param targets: the targets here.
+    :param members: the routers known.
+    :param links: the links to them.
+    :param clock: the clock.
+    :param lease_ms: how long an attachment holds without a heartbeat.
+    :param answer_own: called with replies to this router's own requests.
+    :param rng: spreads the times to come back.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        own: str,
+        view: view_module.View,
+        targets: targets_module.Targets,
+        members: members_module.Members,
+        links: links_module.Links,
+        clock: clock_module.Clock,
+        lease_ms: int,
+        answer_own: AnswerOwn,
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._view = view
+        self._targets = targets
+        self._members = members
+        self._links = links
+        self._clock = clock
+        self._lease_ms = lease_ms
+        self._answer_own = answer_own
+        self._rng = rng
+        self._desks: dict[ShardKey, desk_module.Desk] = {}
+        self._attached: dict[ShardKey, set[str]] = collections.defaultdict(set)
+
+    def desk(self, key: ShardKey) -> desk_module.Desk:
+        """Return the desk of a shard, opening it if need be."""
+        found = self._desks.get(key)
+        if found is None:
+            found = self._open(key)
+            self._desks[key] = found
+        return found
+
+    def _open(self, key: ShardKey) -> desk_module.Desk:
+        pool, shard = key
+        return desk_module.Desk(
+            usable=lambda: self._targets.of_shard(pool, shard),
+            promise=self._view.promise,
+            team_limits=lambda team: self._team_limits(team, pool),
+            ramp=self._targets.ramp,
+            share=lambda: self.share(key),
+            answer=lambda ask, reply: self._answer(key, ask, reply),
+            clock=self._clock,
+            rng=self._rng,
+        )
+
+    def _team_limits(self, name: str, pool: str) -> tuple[int, int]:
+        team = self._view.team(name)
+        if team is None:
+            return 0, 0
+        shards = self._targets.shard_count(pool)
+        in_flight = max(1, team.max_in_flight // shards)
+        return in_flight, max(1, team.max_queued // shards)
+
+    def share(self, key: ShardKey) -> float:
+        """Return the part of the routers here that is attached."""
+        attached = {r for r in self._attached[key] if self._lease_holds(r)}
+        everyone = attached.union(self._members.share_names())
+        return len(attached) / len(everyone)
+
+    def _lease_holds(self, router: str) -> bool:
+        if router == self._own:
+            return True
+        link = self._links.get(router)
+        if link is None or link.echo_ms is None:
+            return False
+        return self._clock.now_ms() - link.echo_ms < self._lease_ms
+
+    def _answer(
+        self, key: ShardKey, ask: queue.Ask, reply: desk_module.Reply
+    ) -> None:
+        if ask.router == self._own:
+            self._answer_own(key, ask, reply)
+            return
+        link = self._links.get(ask.router)
+        if link is None:
+            return
+        link.queue().slot_replies.add(
+            seq=ask.seq,
+            code=int(reply.code),
+            target=reply.target,
+            retry_after_ms=reply.retry_after_ms,
+            reason=int(reply.reason),
+            bound=reply.bound,
+            waited_ms=self._clock.now_ms() - ask.asked_ms,
+            pool=key[0],
+            shard=key[1],
+        )
+
+    def attach(
+        self, key: ShardKey, router: str, held: list[pb.HeldSlot]
+    ) -> None:
+        """Take a router on, with the slots that it holds."""
+        self._attached[key].add(router)
+        slots = [(h.seq, h.target, h.team, h.tokens) for h in held]
+        self.desk(key).attach(router, slots)
+
+    def detach(self, key: ShardKey, router: str) -> None:
+        """Let a router go to another home."""
+        self._attached[key].discard(router)
+        self.desk(key).detach(router)
+
+    def ask(self, request: pb.SlotRequest, router: str) -> None:
+        """Handle a request for a slot."""
+        key = (request.pool, request.shard)
+        if router not in self._attached[key]:
+            return
+        now_ms = self._clock.now_ms()
+        ask = queue.Ask(
+            router,
+            request.seq,
+            request.team,
+            request.service_class,
+            max(1, request.weight),
+            request.affinity,
+            request.chat,
+            request.tokens,
+            now_ms,
+            now_ms + request.wait_ms,
+            tuple(request.excluded),
+        )
+        for name in ask.excluded:
+            self._targets.note_failure(name)
+        if request.resumed:
+            self.desk(key).resume(ask, request.resumed)
+        else:
+            self.desk(key).ask(ask)
+
+    def release(self, key: ShardKey, router: str, seq: int) -> None:
+        """Take back a slot."""
+        self.desk(key).release(router, seq)
+
+    def lost(self, router: str) -> None:
+        """Keep a lost router's slots for as long as they may run."""
+        for key, attached in self._attached.items():
+            if router not in attached:
+                continue
+            attached.discard(router)
+            member = self._members.get(router)
+            dead = member is None or member.refused
+            hold_ms = DEAD_HOLD_MS if dead else CUT_HOLD_MS
+            self.desk(key).orphan(router, hold_ms)
+
+    def tick(self) -> None:
+        """Let time pass on every desk."""
+        for desk in self._desks.values():
+            desk.tick()
+
+    def attached(self, key: ShardKey) -> set[str]:
+        """Return the routers that are attached to a desk."""
+        return set(self._attached[key])
+
+    def active(self) -> list[ShardKey]:
+        """Return the shards for which some router is attached here."""
+        return [key for key, routers in self._attached.items() if routers]
+
+    def probed(self) -> list[targets_module.Target]:
+        """Return the targets that this router has to probe."""
+        found = []
+        for pool, shard in self.active():
+            count = self._targets.shard_count(pool)
+            found += [
+                target
+                for target in self._targets.of_pool(pool)
+                if targets_module.shard_of(target.name, count) == shard
+            ]
+        return found
+
+    def note_report(self, target: targets_module.Target) -> None:
+        """Compare what a target reports with what was granted."""
+        count = self._targets.shard_count(target.pool)
+        key = (target.pool, targets_module.shard_of(target.name, count))
+        if not target.failed:
+            self.desk(key).note_report(target.name, target.reported)
+
+    def summary(self) -> list[dict[str, object]]:
+        """Return the state of each desk for operators."""
+        return [
+            {
+                "pool": key[0],
+                "shard": key[1],
+                "attached": sorted(self._attached[key]),
+                "share": round(self.share(key), 3),
+                "in_flight": self._desks[key].in_flight,
+                "queued": self._desks[key].queued,
+                "loads": self._desks[key].loads(),
+            }
+            for key in self.active()
+        ]
--- /dev/null
+++ b/src/bulrushdale/admission/queue.py
@@ -0,0 +1,128 @@
+"""Requests that wait for a slot, ordered by paid priority."""
+
+import collections
+import dataclasses
+import typing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """A request for a slot.
+
+    :param router: the router that asks.
+    :param seq: the router's number for it.
+    :param team: the team that pays.
+    :param service_class: the class of service.
+    :param weight: the class's share.
+    :param affinity: hash of the prefix that the target's cache may hold.
+    :param chat: hash of the chat; zero for none.
+    :param tokens: estimated prompt and answer tokens.
+    :param asked_ms: when it arrived, in ms of the clock.
+    :param deadline_ms: when it stops waiting, in ms of the clock.
+    :param excluded: targets that failed it already.
+    """
+
+    router: str
+    seq: int
+    team: str
+    service_class: str
+    weight: int
+    affinity: int
+    chat: int
+    tokens: int
+    asked_ms: int
+    deadline_ms: int
+    excluded: tuple[str, ...] = ()
+
+
+class WeightedQueue:
+    """Start-time fair queueing between teams, first in first out within.
+
+    Each grant moves its team's virtual time forward by one over the weight
+    of its class, and the team with the smallest virtual time is next. A
+    team of any weight is therefore served in the end.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = ("_waiting", "_virtual", "_now", "_count")
+
+    def __init__(self) -> None:
+        self._waiting: dict[str, collections.deque[Ask]] = {}
+        self._virtual: dict[str, float] = {}
+        self._now = 0.0
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def queued(self, team: str) -> int:
+        """Return how many requests of a team wait."""
+        return len(self._waiting.get(team, ()))
+
+    def ahead(self, team: str, weight: int) -> float:
+        """Return how many requests will go before a new one of a team."""
+        own_turns = (self.queued(team) + 1) / weight
+        total = float(self.queued(team))
+        for other, waiting in self._waiting.items():
+            if other != team:
+                turns = own_turns * waiting[0].weight
+                total += min(len(waiting), turns)
+        return total
+
+    def push(self, ask: Ask) -> None:
+        """Add a request behind the others of its team."""
+        waiting = self._waiting.setdefault(ask.team, collections.deque())
+        waiting.append(ask)
+        self._count += 1
+
+    def take(self, may_start: typing.Callable[[Ask], bool]) -> Ask | None:
+        """Remove and return the next request that may start.
+
+        :param may_start: tells whether a team's first request may.
+        """
+        order = sorted(
+            self._waiting, key=lambda team: (self._start(team), team)
+        )
+        for team in order:
+            ask = self._waiting[team][0]
+            if may_start(ask):
+                self._pop(team)
+                return ask
+        return None
+
+    def charge(self, team: str, weight: int) -> None:
+        """Move a team's virtual time forward by one grant."""
+        start = self._start(team)
+        self._now = max(self._now, start)
+        self._virtual[team] = start + 1 / weight
+        if len(self._virtual) > 4 * len(self._waiting) + 256:
+            self._virtual = {
+                name: value
+                for name, value in self._virtual.items()
+                if value > self._now
+            }
+
+    def _start(self, team: str) -> float:
+        return max(self._now, self._virtual.get(team, 0.0))
+
+    def _pop(self, team: str) -> None:
+        waiting = self._waiting[team]
+        waiting.popleft()
+        self._count -= 1
+        if not waiting:
+            del self._waiting[team]
+
+    def remove(self, matches: typing.Callable[[Ask], bool]) -> list[Ask]:
+        """Remove and return the requests that match."""
+        removed: list[Ask] = []
+        for team in list(self._waiting):
+            kept: collections.deque[Ask] = collections.deque()
+            for ask in self._waiting[team]:
+                (removed if matches(ask) else kept).append(ask)
+            if kept:
+                self._waiting[team] = kept
+            else:
+                del self._waiting[team]
+        self._count -= len(removed)
+        return removed
--- /dev/null
+++ b/src/bulrushdale/answers/__init__.py
@@ -0,0 +1,1 @@
+"""Answers of engines: checked, resumed and relayed whole."""
--- /dev/null
+++ b/src/bulrushdale/answers/chat.py
@@ -0,0 +1,197 @@
+"""Chat completion requests, and their answers as a whole."""
+
+import dataclasses
+import typing
+
+import orjson
+
+from bulrushdale.answers import frames
+from bulrushdale import hashing
+from bulrushdale import results
+
+SHARED_PREFIX_BYTES = 256
+DEFAULT_ANSWER_TOKENS = 256
+BYTES_PER_TOKEN = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChatCall:
+    """A chat completion that a caller asks for.
+
+    :param model: which model.
+    :param stream: whether the caller wants events.
+    :param service_tier: a class of service below the team's own, or none.
+    :param affinity: hash of the prefix that other chats may share.
+    :param chat: hash of what stays when the chat returns.
+    :param tokens: estimated prompt and answer tokens.
+    :param body: the request as received.
+    """
+
+    model: str
+    stream: bool
+    service_tier: str
+    affinity: int
+    chat: int
+    tokens: int
+    body: dict[str, typing.Any]
+
+    def for_engine(self, priority: int) -> bytes:
+        """Return the request's JSON for an engine.
+
+        :param priority: the class's priority at the engine.
+        """
+        return orjson.dumps(
+            {**self.body, "stream": True, "priority": priority}
+        )
+
+
+def parse(data: bytes, team: str) -> ChatCall:
+    """Check the body of a chat completion request.
+
+    :param data: JSON.
+    :param team: who asks; hashes of different teams differ.
+    :raises bulrushdale.results.RefusedError: if it can't be served.
+    """
+    try:
+        body = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise _bad(f"the body is not JSON: {error}") from None
+    if not isinstance(body, dict):
+        raise _bad("the body must be a JSON object")
+    model = body.get("model")
+    if not isinstance(model, str):
+        raise _bad("'model' must be a string")
+    stream = body.get("stream", False)
+    if not isinstance(stream, bool):
+        raise _bad("'stream' must be true or false")
+    messages = _messages(body)
+    limit = body.get("max_completion_tokens", body.get("max_tokens"))
+    if limit is None:
+        limit = DEFAULT_ANSWER_TOKENS
+    if not isinstance(limit, int) or not 0 < limit <= 1_000_000:
+        raise _bad("'max_tokens' must be a positive whole number")
+    affinity, chat = _prefix_hashes(body, messages, team)
+    tier = body.get("service_tier")
+    return ChatCall(
+        model,
+        stream,
+        tier if isinstance(tier, str) else "",
+        affinity,
+        chat,
+        len(data) // BYTES_PER_TOKEN + limit,
+        body,
+    )
+
+
+def _bad(detail: str) -> results.RefusedError:
+    return results.refuse(results.Code.BAD_REQUEST, detail)
+
+
+def _messages(body: dict[str, typing.Any]) -> list[dict[str, typing.Any]]:
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise _bad("'messages' must be a list that is not empty")
+    for message in messages:
+        if not isinstance(message, dict) or "role" not in message:
+            raise _bad("each message must be an object with a 'role'")
+    return messages
+
+
+def _prefix_hashes(
+    body: dict[str, typing.Any],
+    messages: list[dict[str, typing.Any]],
+    team: str,
+) -> tuple[int, int]:
+    """Return the hashes of the shared prefix and of the chat."""
+    scope = team.encode() + b"\0"
+    leading = []
+    for message in messages:
+        if message["role"] not in ("system", "developer"):
+            break
+        leading.append(message)
+    shared = orjson.dumps(leading)
+    opening = orjson.dumps(messages[: len(leading) + 1])
+    chat = hashing.hash64(scope + opening)
+    cache_key = body.get("prompt_cache_key")
+    if isinstance(cache_key, str) and cache_key:
+        return hashing.hash64(scope + cache_key.encode()), chat
+    if len(shared) >= SHARED_PREFIX_BYTES:
+        return hashing.hash64(scope + shared), chat
+    return chat, chat
+
+
+class Whole:
+    """Joins the chunks of an answer into one completion.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = ("_head", "_choices", "_usage")
+
+    def __init__(self) -> None:
+        self._head: dict[str, typing.Any] = {}
+        self._choices: dict[int, dict[str, typing.Any]] = {}
+        self._usage: dict[str, typing.Any] | None = None
+
+    def add(self, data: bytes) -> None:
+        """Add the data of one frame.
+
+        :raises ValueError: if it is not a chunk.
+        """
+        if data == frames.END_MARK:
+            return
+        chunk = orjson.loads(data)
+        if not isinstance(chunk, dict):
+            raise ValueError("a chunk must be an object")
+        for field in ("id", "created", "model", "system_fingerprint"):
+            if field in chunk:
+                self._head.setdefault(field, chunk[field])
+        self._usage = chunk.get("usage") or self._usage
+        for choice in chunk.get("choices", ()):
+            self._add_choice(choice)
+
+    def _add_choice(self, choice: dict[str, typing.Any]) -> None:
+        index = choice.get("index", 0)
+        whole = self._choices.setdefault(
+            index,
+            {
+                "index": index,
+                "message": {"role": "assistant", "content": ""},
+                "finish_reason": None,
+            },
+        )
+        message = whole["message"]
+        for field, value in choice.get("delta", {}).items():
+            if field == "tool_calls":
+                _add_tool_calls(message, value)
+            elif isinstance(value, str) and field != "role":
+                message[field] = (message.get(field) or "") + value
+        if choice.get("finish_reason"):
+            whole["finish_reason"] = choice["finish_reason"]
+
+    def body(self) -> bytes:
+        """Return the JSON of the completion."""
+        completion: dict[str, typing.Any] = {
+            "object": "chat.completion",
+            **self._head,
+            "choices": [self._choices[i] for i in sorted(self._choices)],
+        }
+        if self._usage:
+            completion["usage"] = self._usage
+        return orjson.dumps(completion)
+
+
+def _add_tool_calls(
+    message: dict[str, typing.Any], deltas: list[dict[str, typing.Any]]
+) -> None:
+    calls = message.setdefault("tool_calls", [])
+    for delta in deltas:
+        index = delta.get("index", 0)
+        while len(calls) <= index:
+            calls.append({"function": {"name": "", "arguments": ""}})
+        call = calls[index]
+        for field in ("id", "type"):
+            if delta.get(field):
+                call[field] = delta[field]
+        for field, value in delta.get("function", {}).items():
+            call["function"][field] += value or ""
--- /dev/null
+++ b/src/bulrushdale/answers/source.py
@@ -0,0 +1,247 @@
+"""Reading one answer from an engine, across cuts."""
+
+import asyncio
+from collections import abc
+
+import aiohttp
+
+from bulrushdale.answers import frames
+from bulrushdale import clock as clock_module
+
+FIRST_FRAME_TIMEOUT_MS = 30_000
+STALL_TIMEOUT_MS = 5_000
+CONNECT_TIMEOUT_MS = 1_000
+RESUME_TRIES = 4
+RESUME_DELAY_MS = 100
+
+TARGET_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+
+
+class NotStartedError(Exception):
+    """The engine sent no frame; the request may be tried elsewhere.
+
+    :param overloaded: whether the engine refused it as too much.
+    """
+
+    def __init__(self, detail: str, overloaded: bool = False) -> None:
+        super().__init__(detail)
+        self.overloaded = overloaded
+
+
+class CutError(Exception):
+    """The engine stopped short of the end mark and can't resume."""
+
+
+class GoneError(Exception):
+    """The engine does not have the stream any more."""
+
+
+class Source:
+    """One answer as an engine generates it.
+
+    :param session: the HTTP session.
+    :param url: the engine's base URL.
+    :param request_id: the request's id, which the engine has to repeat.
+    :param clock: the clock.
+
+    :ivar stream: the engine's name for the stream.
+    :ivar resumes: how often the stream was resumed.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = (
+        "_session",
+        "_url",
+        "_request_id",
+        "_clock",
+        "_response",
+        "_splitter",
+        "stream",
+        "resumes",
+        "cached_tokens",
+    )
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        url: str,
+        request_id: str,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._session = session
+        self._url = url
+        self._request_id = request_id
+        self._clock = clock
+        self._response: aiohttp.ClientResponse | None = None
+        self._splitter = frames.Splitter("")
+        self.stream = ""
+        self.resumes = 0
+        self.cached_tokens = 0
+
+    @property
+    def counts(self) -> frames.Counts:
+        """What was dropped."""
+        return self._splitter.counts
+
+    @property
+    def last(self) -> int:
+        """The number of the newest frame taken."""
+        return self._splitter.last
+
+    @property
+    def done(self) -> bool:
+        """Whether the end mark was taken."""
+        return self._splitter.done
+
+    async def start(self, body: bytes, headers: dict[str, str]) -> None:
+        """Send the request.
+
+        :param body: JSON for the engine.
+        :param headers: further headers.
+        :raises NotStartedError: if the engine did not accept it.
+        """
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=CONNECT_TIMEOUT_MS / 1000,
+            sock_read=FIRST_FRAME_TIMEOUT_MS / 1000,
+        )
+        try:
+            response = await self._session.post(
+                f"{self._url}/v1/chat/completions",
+                data=body,
+                headers={**headers, "X-Request-Id": self._request_id},
+                timeout=timeout,
+            )
+        except TARGET_ERRORS as error:
+            raise NotStartedError(repr(error)) from error
+        self._response = response
+        if response.status != 200:
+            response.close()
+            raise NotStartedError(
+                f"engine answered {response.status}", response.status == 429
+            )
+        if response.headers.get("X-Request-Id") != self._request_id:
+            response.close()
+            raise NotStartedError("engine answered another request")
+        self.stream = response.headers.get("X-Stream-Id", "")
+        cached = response.headers.get("X-Cached-Tokens", "0")
+        self.cached_tokens = int(cached) if cached.isdigit() else 0
+        self._splitter = frames.Splitter(self.stream)
+
+    async def reopen(self, stream: str, last: int) -> None:
+        """Continue a stream that another router began.
+
+        :param stream: the engine's name for it.
+        :param last: the number of the last frame that the caller has.
+        :raises GoneError: if the engine does not have it any more.
+        :raises CutError: if the engine can't be reached.
+        """
+        self.stream = stream
+        self._splitter = frames.Splitter(stream, last)
+        if not await self._resume():
+            raise CutError("engine can't be reached")
+
+    async def read(self) -> abc.AsyncIterator[list[bytes]]:
+        """Yield the data of frames, in order and without gaps.
+
+        The end mark is the last one.
+
+        :raises NotStartedError: if no frame arrived at all.
+        :raises CutError: if the stream ended short and can't be resumed.
+        """
+        timeout_ms = FIRST_FRAME_TIMEOUT_MS
+        while not self._splitter.done:
+            data = await self._next(timeout_ms)
+            taken = self._splitter.feed(data) if data else []
+            if taken:
+                timeout_ms = STALL_TIMEOUT_MS
+                yield taken
+            if self._splitter.done:
+                break
+            if not data or self._splitter.gap:
+                await self._recover()
+
+    async def _next(self, timeout_ms: int) -> bytes:
+        """Return the next bytes; none at the end or after an error."""
+        response = self._response
+        if response is None:
+            return b""
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                return await response.content.readany()
+        except TARGET_ERRORS:
+            return b""
+
+    async def _recover(self) -> None:
+        if self._splitter.last < 0 and not self._splitter.gap:
+            self.close()
+            raise NotStartedError("engine sent no frame")
+        try:
+            resumed = await self._resume()
+        except GoneError as error:
+            raise CutError(str(error)) from error
+        if not resumed:
+            raise CutError("engine ended the answer short of its end")
+
+    async def _resume(self) -> bool:
+        """Ask for what follows the last frame; return whether it comes."""
+        self.close()
+        if self.resumes >= 50:
+            return False
+        for attempt in range(RESUME_TRIES):
+            if attempt:
+                await self._clock.sleep_ms(RESUME_DELAY_MS * 2**attempt)
+            if await self._resume_once():
+                self.resumes += 1
+                self._splitter.restart()
+                return True
+        return False
+
+    async def _resume_once(self) -> bool:
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=CONNECT_TIMEOUT_MS / 1000,
+            sock_read=STALL_TIMEOUT_MS / 1000,
+        )
+        try:
+            response = await self._session.get(
+                f"{self._url}/streams/{self.stream}",
+                headers={"Last-Event-ID": str(self._splitter.last)},
+                timeout=timeout,
+            )
+        except TARGET_ERRORS:
+            return False
+        if response.status == 200:
+            self._response = response
+            return True
+        response.close()
+        if response.status in (404, 410):
+            raise GoneError(f"engine has no stream {self.stream}")
+        return False
+
+    async def cancel(self) -> None:
+        """Tell the engine that nobody reads the answer any more."""
+        self.close()
+        if not self.stream:
+            return
+        timeout = aiohttp.ClientTimeout(total=CONNECT_TIMEOUT_MS / 1000)
+        try:
+            async with self._session.delete(
+                f"{self._url}/streams/{self.stream}", timeout=timeout
+            ):
+                return
+        except TARGET_ERRORS:
+            return
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._response is not None:
+            self._response.close()
+            self._response = None
+
+    def finish(self) -> None:
+        """Give the connection back after the end mark."""
+        if self._response is not None:
+            self._response.release()
+            self._response = None
--- /dev/null
+++ b/src/bulrushdale/catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' catalogue: entries, their fold and their publication."""
--- /dev/null
+++ b/src/bulrushdale/catalogue/publisher.py
@@ -0,0 +1,162 @@
+"""Publication of operators' edits in the log."""
+
+import dataclasses
+import typing
+import uuid
+
+from bulrushdale.catalogue import entries
+from bulrushdale.catalogue import fold
+from bulrushdale import clock as clock_module
+from bulrushdale.platform import log
+from bulrushdale import results
+
+SETTLE_TIMEOUT_MS = 6_000
+RETRY_INTERVAL_MS = 150
+COME_BACK_MS = 5_000
+PAGE_RECORDS = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Edit:
+    """One operator's change of one entry.
+
+    :param kind: the entry's kind.
+    :param name: the entry's name.
+    :param spec: the new content, or none to delete it.
+    :param expected: the revision that it replaces; zero to create.
+    :param operator: who asks for it.
+    """
+
+    kind: entries.Kind
+    name: str
+    spec: entries.Spec | None
+    expected: int
+    operator: str
+
+
+class Publisher:
+    """Appends edits and finds out which of them won.
+
+    :param catalogue: the entries as folded so far.
+    :param client: the log.
+    :param clock: the clock.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = ("_catalogue", "_log", "_clock")
+
+    def __init__(
+        self,
+        catalogue: fold.Catalogue,
+        client: log.LogClient,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._catalogue = catalogue
+        self._log = client
+        self._clock = clock
+
+    async def publish(self, edit: Edit) -> entries.Entry:
+        """Publish an edit and wait until its place in the log is known.
+
+        :param edit: the change.
+        :return: the entry as accepted.
+        :raises bulrushdale.results.RefusedError: if another edit won, the
+            log is down, or the edit's fate can't be settled in time.
+        """
+        start = self._catalogue.offset
+        revision = self._catalogue.revision(edit.kind, edit.name)
+        if edit.expected != revision:
+            raise _conflict(edit, revision)
+        record_id = uuid.uuid4().hex
+        lost = await self._append(edit, record_id)
+        record, revision = await self._read_back(
+            edit, record_id, start, revision, lost
+        )
+        if revision != edit.expected:
+            raise _conflict(edit, revision)
+        entry = fold.edited(record)
+        if entry is None:
+            raise results.refuse(
+                results.Code.ENTRY_INVALID, "the record doesn't decode"
+            )
+        self._catalogue.merge([entry])
+        return entry
+
+    async def _append(self, edit: Edit, record_id: str) -> bool:
+        """Append the edit; return whether the answer was lost."""
+        spec = None
+        if edit.spec is not None:
+            spec = edit.spec.model_dump(mode="json", exclude_defaults=True)
+        data = {
+            "type": "edit",
+            "record_id": record_id,
+            "kind": edit.kind.value,
+            "name": edit.name,
+            "spec": spec,
+            "expected": edit.expected,
+            "operator": edit.operator,
+        }
+        try:
+            await self._log.append(fold.STREAM, data)
+        except log.LogUnavailableError as error:
+            if not error.may_have_taken_effect:
+                raise results.refuse(
+                    results.Code.LOG_UNAVAILABLE,
+                    f"nothing was written: {error}",
+                    COME_BACK_MS,
+                ) from error
+            return True
+        return False
+
+    async def _read_back(
+        self,
+        edit: Edit,
+        record_id: str,
+        offset: int,
+        revision: int,
+        lost: bool,
+    ) -> tuple[log.Record, int]:
+        """Read up to the own record.
+
+        :return: the record and the entry's revision just before it.
+        """
+        deadline_ms = self._clock.now_ms() + SETTLE_TIMEOUT_MS
+        while self._clock.now_ms() < deadline_ms:
+            for record in await self._page(offset):
+                offset = record.offset + 1
+                if record.data.get("record_id") == record_id:
+                    return record, revision
+                revision = _revision_after(record, edit, revision)
+            await self._clock.sleep_ms(RETRY_INTERVAL_MS)
+        raise results.refuse(
+            results.Code.EDIT_UNKNOWN,
+            f"record {record_id} was not read back in time"
+            + (" after its answer was lost" if lost else ""),
+        )
+
+    async def _page(self, offset: int) -> list[log.Record]:
+        try:
+            page = await self._log.read(fold.STREAM, offset, PAGE_RECORDS)
+        except log.LogUnavailableError:
+            return []
+        return page.records
+
+
+def _revision_after(record: log.Record, edit: Edit, revision: int) -> int:
+    data: dict[str, typing.Any] = record.data
+    if data.get("type") != "edit":
+        return revision
+    if (data["kind"], data["name"]) != (edit.kind.value, edit.name):
+        return revision
+    if data["expected"] != revision:
+        return revision
+    return 0 if data["spec"] is None else record.offset + 1
+
+
+def _conflict(edit: Edit, revision: int) -> results.RefusedError:
+    return results.refuse(
+        results.Code.EDIT_CONFLICT,
+        f"{edit.kind.value}/{edit.name} is at revision {revision},"
+        f" the edit expected {edit.expected}",
+    )
--- /dev/null
+++ b/src/bulrushdale/catalogue/tail.py
@@ -0,0 +1,132 @@
+"""Following the catalogue's stream and keeping it from expiring."""
+
+import logging
+import typing
+import uuid
+
+from bulrushdale.catalogue import entries
+from bulrushdale.catalogue import fold
+from bulrushdale import clock as clock_module
+from bulrushdale.platform import log
+
+PAGE_RECORDS = 1_000
+LOG = logging.getLogger(__name__)
+
+OnChange = typing.Callable[[int, list[entries.Entry]], None]
+
+
+class Tail:
+    """Reads new records of the catalogue and appends snapshots.
+
+    :param catalogue: what the records are folded into.
+    :param client: the log.
+    :param clock: the clock.
+    :param retention_ms: how long the log keeps a record, in ms.
+    :param on_change: called with the offset before the changes and the
+        entries that changed.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = (
+        "_catalogue",
+        "_log",
+        "_clock",
+        "_retention_ms",
+        "_on_change",
+        "_changed",
+        "_snapshot_time_ms",
+        "read_ms",
+    )
+
+    def __init__(
+        self,
+        catalogue: fold.Catalogue,
+        client: log.LogClient,
+        clock: clock_module.Clock,
+        retention_ms: int,
+        on_change: OnChange,
+    ) -> None:
+        self._catalogue = catalogue
+        self._log = client
+        self._clock = clock
+        self._retention_ms = retention_ms
+        self._on_change = on_change
+        self._changed: list[entries.Entry] = []
+        self._snapshot_time_ms = 0
+        self.read_ms: int | None = None
+        catalogue.subscribe(self._changed.append)
+
+    async def poll(self) -> None:
+        """Read and fold everything new.
+
+        :raises LogUnavailableError: if the log doesn't answer.
+        """
+        base = self._catalogue.offset
+        self._changed.clear()
+        while True:
+            page = await self._log.read(
+                fold.STREAM, self._catalogue.offset, PAGE_RECORDS
+            )
+            if page.first > self._catalogue.offset:
+                if not await self._restore(page.first):
+                    return
+                continue
+            for record in page.records:
+                self._fold(record)
+            if not page.records:
+                break
+        self._catalogue.advance(self._catalogue.offset)
+        self.read_ms = self._clock.now_ms()
+        changed = list(self._changed)
+        self._changed.clear()
+        if changed or self._catalogue.offset != base:
+            self._on_change(base, changed)
+
+    def _fold(self, record: log.Record) -> None:
+        if record.data.get("type") == "snapshot":
+            self._snapshot_time_ms = max(
+                self._snapshot_time_ms, record.time_ms
+            )
+        self._catalogue.fold(record)
+
+    async def _restore(self, first: int) -> bool:
+        records: list[log.Record] = []
+        offset = first
+        while True:
+            page = await self._log.read(fold.STREAM, offset, PAGE_RECORDS)
+            records.extend(page.records)
+            if not page.records:
+                break
+            offset = page.records[-1].offset + 1
+        restored = fold.restore(self._catalogue, records)
+        if not restored:
+            LOG.error(
+                "records before offset %d expired and no snapshot covers"
+                " them; waiting for a peer",
+                first,
+            )
+        return restored
+
+    def snapshot_due(self, delay_ms: int) -> bool:
+        """Return whether the newest snapshot is old.
+
+        :param delay_ms: a wait that differs between data centres, in ms.
+        """
+        if not self._catalogue.loaded or not self._catalogue.offset:
+            return False
+        age_ms = self._clock.wall_ms() - self._snapshot_time_ms
+        return age_ms > self._retention_ms // 4 + delay_ms
+
+    async def append_snapshot(self) -> None:
+        """Append the whole catalogue, so that its records may expire.
+
+        :raises LogUnavailableError: if the log doesn't answer.
+        """
+        snapshot_id = uuid.uuid4().hex
+        for data in fold.snapshot(self._catalogue, snapshot_id):
+            await self._log.append(fold.STREAM, data)
+        self._snapshot_time_ms = self._clock.wall_ms()
+        self._catalogue.forget_deleted(
+            self._clock.wall_ms() - 2 * self._retention_ms
+        )
--- /dev/null
+++ b/src/bulrushdale/claims/holder.py
@@ -0,0 +1,262 @@
+"""Claiming keys for the calls of one router."""
+
+import asyncio
+import dataclasses
+import itertools
+import logging
+import typing
+import uuid
+
+from bulrushdale.claims import duty as duty_module
+from bulrushdale.claims import keys
+from bulrushdale.claims import ledger as ledger_module
+from bulrushdale import clock as clock_module
+from bulrushdale.control import control_pb2 as pb
+from bulrushdale.fleet import links as links_module
+from bulrushdale.fleet import members as members_module
+from bulrushdale import hashing
+from bulrushdale.platform import log
+
+LOG = logging.getLogger(__name__)
+
+CLAIM_TIMEOUT_MS = 3_000
+REPLY_GRACE_MS = 500
+BACKGROUND_TIMEOUT_MS = 10_000
+BACKGROUND_INTERVAL_MS = 1_000
+RELEASE_TRIES = 3_600
+OUTCOME_TRIES = 600
+CLAIM_ID_BYTES = 8
+
+Decision = duty_module.Decision
+Item = ledger_module.Item
+Operation = ledger_module.Operation
+Verdict = ledger_module.Verdict
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """One router's claim of one key.
+
+    :param key: the key.
+    :param claim_id: unique to this claim.
+    :param body: digest of the request's body.
+    """
+
+    key: keys.Key
+    claim_id: bytes
+    body: bytes
+
+
+class Holder:
+    """Claims keys and records what became of them.
+
+    :param own: this router's name.
+    :param members: the routers known.
+    :param links: the links to them.
+    :param client: the log.
+    :param clock: the clock.
+    :param life_ms: returns how long a key lives, in ms.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        own: str,
+        members: members_module.Members,
+        links: links_module.Links,
+        client: log.LogClient,
+        clock: clock_module.Clock,
+        life_ms: typing.Callable[[], int],
+    ) -> None:
+        self._own = own
+        self._members = members
+        self._links = links
+        self._log = client
+        self._clock = clock
+        self._life_ms = life_ms
+        self._duties: dict[int, duty_module.Duty] = {}
+        self._seq = itertools.count(1)
+        self._replies: dict[int, asyncio.Future[Decision]] = {}
+        self._background: set[asyncio.Task[None]] = set()
+
+    async def claim(
+        self, key: keys.Key, body: bytes
+    ) -> tuple[Claim, Decision]:
+        """Claim a key.
+
+        :param key: the key.
+        :param body: digest of the request's body.
+        :return: the claim, and how the key stands; with any verdict but
+            WON the call must not be made, and after UNAVAILABLE the claim
+            has to be released.
+        """
+        claim = Claim(key, uuid.uuid4().bytes[:CLAIM_ID_BYTES], body)
+        item = Item(Operation.CLAIM, key, claim.claim_id, body)
+        decision = await self._ask(item, CLAIM_TIMEOUT_MS)
+        return claim, decision
+
+    async def look(self, claim: Claim) -> Decision:
+        """Return how a key stands, without claiming it."""
+        item = Item(Operation.LOOK, claim.key, claim.claim_id, claim.body)
+        return await self._ask(item, CLAIM_TIMEOUT_MS)
+
+    def settle(self, claim: Claim, outcome: ledger_module.Outcome) -> None:
+        """Record the outcome of a call, in the background."""
+        item = Item(
+            Operation.OUTCOME, claim.key, claim.claim_id, claim.body, outcome
+        )
+        self._spawn(item, OUTCOME_TRIES)
+
+    def release(self, claim: Claim) -> None:
+        """Record that a claim's call was not made and never will be."""
+        item = Item(Operation.RELEASE, claim.key, claim.claim_id)
+        self._spawn(item, RELEASE_TRIES)
+
+    def _spawn(self, item: Item, tries: int) -> None:
+        task = asyncio.create_task(self._persist(item, tries))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _persist(self, item: Item, tries: int) -> None:
+        for _ in range(tries):
+            decision = await self._ask(item, BACKGROUND_TIMEOUT_MS)
+            if decision.verdict == Verdict.NOTED:
+                return
+            await self._clock.sleep_ms(BACKGROUND_INTERVAL_MS)
+        LOG.error("a claim's %s was not recorded", item.operation.name)
+
+    async def flush(self) -> None:
+        """Wait until everything in the background is recorded."""
+        while self._background:
+            await asyncio.gather(*self._background, return_exceptions=True)
+
+    def _on_duty(self, partition: int) -> list[str]:
+        names = self._members.eligible() or [self._own]
+        label = hashing.hash64(f"claims/{partition}".encode())
+        return hashing.rendezvous(label, names)[:2]
+
+    async def _ask(self, item: Item, timeout_ms: int) -> Decision:
+        """Ask the router on duty, or the next one if it can't be asked."""
+        for name in self._on_duty(item.key.partition):
+            if name == self._own:
+                return await self.decide(item, timeout_ms)
+            link = self._links.get(name)
+            if link is None:
+                continue
+            decision = await self._ask_peer(link, item, timeout_ms)
+            if decision is not None:
+                return decision
+        return Decision(Verdict.UNAVAILABLE)
+
+    async def _ask_peer(
+        self, link: links_module.Link, item: Item, timeout_ms: int
+    ) -> Decision | None:
+        seq = next(self._seq) & 0xFFFFFFFF
+        future = asyncio.get_running_loop().create_future()
+        self._replies[seq] = future
+        request = link.queue().claim_requests.add(
+            seq=seq,
+            partition=item.key.partition,
+            key=item.key.digest,
+            body=item.body,
+            claim_id=item.claim_id,
+            operation=int(item.operation),
+            timeout_ms=timeout_ms,
+        )
+        if item.outcome is not None:
+            request.status = item.outcome.status
+            request.answer = item.outcome.answer
+            request.content_type = item.outcome.content_type
+        closed = asyncio.create_task(link.closed.wait())
+        try:
+            await asyncio.wait(
+                {future, closed},
+                timeout=(timeout_ms + REPLY_GRACE_MS) / 1000,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            return future.result() if future.done() else None
+        finally:
+            closed.cancel()
+            del self._replies[seq]
+
+    def replied(self, message: pb.ClaimReply) -> None:
+        """Take the reply of a router on duty; a late one is dropped."""
+        future = self._replies.get(message.seq)
+        if future is None or future.done():
+            return
+        outcome = None
+        if message.verdict == Verdict.DONE:
+            outcome = ledger_module.Outcome(
+                message.status, message.answer, message.content_type
+            )
+        future.set_result(
+            Decision(Verdict(message.verdict), outcome, message.age_ms)
+        )
+
+    def duty(self, partition: int) -> duty_module.Duty:
+        """Return this router's duty for a partition, taking it up."""
+        found = self._duties.get(partition)
+        if found is None:
+            found = duty_module.Duty(
+                partition, self._log, self._clock, self._life_ms()
+            )
+            self._duties[partition] = found
+        found.set_life(self._life_ms())
+        return found
+
+    async def decide(self, item: Item, timeout_ms: int) -> Decision:
+        """Handle a request as the router on duty."""
+        return await self.duty(item.key.partition).decide(item, timeout_ms)
+
+    async def serve(
+        self, link: links_module.Link, message: pb.ClaimRequest
+    ) -> None:
+        """Answer a peer's request."""
+        outcome = None
+        if message.operation == Operation.OUTCOME:
+            outcome = ledger_module.Outcome(
+                message.status, message.answer, message.content_type
+            )
+        item = Item(
+            Operation(message.operation),
+            keys.Key(message.key),
+            message.claim_id,
+            message.body,
+            outcome,
+        )
+        decision = await self.decide(item, message.timeout_ms)
+        reply = pb.ClaimReply(
+            seq=message.seq,
+            verdict=int(decision.verdict),
+            age_ms=decision.age_ms,
+        )
+        if decision.outcome is not None:
+            reply.status = decision.outcome.status
+            reply.answer = decision.outcome.answer
+            reply.content_type = decision.outcome.content_type
+        link.queue().claim_replies.append(reply)
+
+    async def retire(self) -> None:
+        """Give up duties that other routers have held for a while."""
+        now_ms = self._clock.now_ms()
+        for partition, duty in list(self._duties.items()):
+            idle = now_ms - duty.used_ms > duty_module.IDLE_STOP_MS
+            mine = self._on_duty(partition)[0] == self._own
+            if not mine and idle and not duty.busy:
+                del self._duties[partition]
+                await duty.stop()
+
+    async def stop(self) -> None:
+        """Stop all duties."""
+        for task in self._background:
+            task.cancel()
+        for duty in self._duties.values():
+            await duty.stop()
+
+    def summary(self) -> dict[str, int]:
+        """Return the number of keys of each partition on duty here."""
+        return {
+            duty_module.stream_name(partition): len(duty.ledger)
+            for partition, duty in sorted(self._duties.items())
+        }
--- /dev/null
+++ b/src/bulrushdale/claims/ledger.py
@@ -0,0 +1,247 @@
+"""The fold of one partition's claims, in the log's order.
+
+The first claim of a key holds it. A release, which only the claim's own
+router appends and only when it is certain that it did not and will not
+call, ends a claim whether it comes before or after it in the log. An
+outcome settles a key for good. Every reader of the same records reaches the
+same state, however often a record is repeated.
+"""
+
+import base64
+import dataclasses
+import enum
+import typing
+
+from bulrushdale.claims import keys
+from bulrushdale.platform import log
+
+BUCKETS_PER_LIFE = 8
+CLOCK_MARGIN_MS = 600_000
+STORED_ANSWER_BYTES = 16_384
+
+
+class Operation(enum.IntEnum):
+    """What a holder asks of the router on duty."""
+
+    CLAIM = 0
+    OUTCOME = 1
+    RELEASE = 2
+    LOOK = 3
+
+
+class Verdict(enum.IntEnum):
+    """What the router on duty replies."""
+
+    WON = 0
+    PENDING = 1
+    DONE = 2
+    REUSED = 3
+    UNAVAILABLE = 4
+    EXPIRED = 5
+    NOTED = 6
+    FREE = 7
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """How a call ended.
+
+    :param status: the HTTP status that the target sent; zero if it is
+        not known whether the call had its effect.
+    :param answer: the body, if it was small enough to keep.
+    :param content_type: the body's type.
+    """
+
+    status: int
+    answer: bytes
+    content_type: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """A claim without an outcome.
+
+    :param claim_id: the claim that holds the key.
+    :param body: digest of the request's body.
+    :param time_ms: when the log stored it, ms since the epoch.
+    """
+
+    claim_id: bytes
+    body: bytes
+    time_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """One change of one key, as a record carries it."""
+
+    operation: Operation
+    key: keys.Key
+    claim_id: bytes
+    body: bytes = b""
+    outcome: Outcome | None = None
+
+
+def encode(items: list[Item]) -> dict[str, typing.Any]:
+    """Return the record that carries some items."""
+    return {"items": [_encode_item(item) for item in items]}
+
+
+def _text(data: bytes) -> str:
+    return base64.b85encode(data).decode()
+
+
+def _encode_item(item: Item) -> list[typing.Any]:
+    fields: list[typing.Any] = [
+        int(item.operation),
+        _text(item.key.digest),
+        _text(item.claim_id),
+        _text(item.body),
+    ]
+    if item.outcome is not None:
+        outcome = item.outcome
+        fields += [
+            outcome.status,
+            _text(outcome.answer),
+            outcome.content_type,
+        ]
+    return fields
+
+
+def decode(data: dict[str, typing.Any]) -> list[Item]:
+    """Return the items of a record; a foreign record has none."""
+    items = []
+    for fields in data.get("items", ()):
+        outcome = None
+        if len(fields) > 4:
+            outcome = Outcome(
+                fields[4], base64.b85decode(fields[5]), fields[6]
+            )
+        items.append(
+            Item(
+                Operation(fields[0]),
+                keys.Key(base64.b85decode(fields[1])),
+                base64.b85decode(fields[2]),
+                base64.b85decode(fields[3]),
+                outcome,
+            )
+        )
+    return items
+
+
+class Ledger:
+    """The keys of one partition.
+
+    A settled key costs its 16 bytes and the offset of the record that
+    holds its outcome.
+
+    :param life_ms: how long a key lives, in ms.
+
+    :ivar offset: the next offset to fold.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = (
+        "life_ms",
+        "offset",
+        "_bucket_ms",
+        "_settled",
+        "_held",
+        "_released",
+    )
+
+    def __init__(self, life_ms: int) -> None:
+        self.life_ms = life_ms
+        self.offset = 0
+        self._bucket_ms = max(1, life_ms // BUCKETS_PER_LIFE)
+        self._settled: dict[int, dict[bytes, int]] = {}
+        self._held: dict[bytes, Held] = {}
+        self._released: dict[bytes, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._held) + sum(map(len, self._settled.values()))
+
+    def _bucket(self, key: keys.Key) -> int:
+        return key.time_ms // self._bucket_ms
+
+    def held(self, key: keys.Key) -> Held | None:
+        """Return the claim that holds a key and has no outcome yet."""
+        return self._held.get(key.digest)
+
+    def settled(self, key: keys.Key) -> int | None:
+        """Return the offset of the record with a key's outcome."""
+        return self._settled.get(self._bucket(key), {}).get(key.digest)
+
+    def expired(self, key: keys.Key, now_ms: int) -> bool:
+        """Return whether a key is too old to be claimed.
+
+        :param key: the key.
+        :param now_ms: ms since the epoch.
+        """
+        return key.time_ms < now_ms - self.life_ms
+
+    def fold(self, record: log.Record) -> None:
+        """Apply the next record; an older one is passed over.
+
+        :param record: a record of the partition's stream.
+        """
+        if record.offset < self.offset:
+            return
+        for item in decode(record.data):
+            self._apply(item, record)
+        self.offset = record.offset + 1
+
+    def _apply(self, item: Item, record: log.Record) -> None:
+        if item.operation == Operation.CLAIM:
+            self._claim(item, record)
+        elif item.operation == Operation.RELEASE:
+            self._release(item)
+        elif item.operation == Operation.OUTCOME:
+            self._outcome(item, record)
+
+    def _claim(self, item: Item, record: log.Record) -> None:
+        digest = item.key.digest
+        if item.claim_id in self._released:
+            return
+        if digest in self._held or self.settled(item.key) is not None:
+            return
+        self._held[digest] = Held(item.claim_id, item.body, record.time_ms)
+
+    def _release(self, item: Item) -> None:
+        held = self._held.get(item.key.digest)
+        if held is not None and held.claim_id == item.claim_id:
+            del self._held[item.key.digest]
+        self._released[item.claim_id] = item.key.time_ms
+
+    def _outcome(self, item: Item, record: log.Record) -> None:
+        held = self._held.get(item.key.digest)
+        if held is None or held.claim_id != item.claim_id:
+            return
+        del self._held[item.key.digest]
+        bucket = self._settled.setdefault(self._bucket(item.key), {})
+        bucket[item.key.digest] = record.offset
+
+    def expire(self, now_ms: int) -> None:
+        """Drop the keys that nobody may claim any more.
+
+        :param now_ms: ms since the epoch.
+        """
+        before_ms = now_ms - self.life_ms - CLOCK_MARGIN_MS
+        for bucket in list(self._settled):
+            if (bucket + 1) * self._bucket_ms < before_ms:
+                del self._settled[bucket]
+        for digest in list(self._held):
+            if keys.Key(digest).time_ms < before_ms:
+                del self._held[digest]
+        for claim_id, time_ms in list(self._released.items()):
+            if time_ms < before_ms:
+                del self._released[claim_id]
+
+
+def outcome_in(record: log.Record, key: keys.Key) -> Item | None:
+    """Return the outcome of a key that a record holds."""
+    for item in decode(record.data):
+        if item.operation == Operation.OUTCOME and item.key == key:
+            return item
+    return None
--- /dev/null
+++ b/src/bulrushdale/clock.py
@@ -0,0 +1,61 @@
+"""Time in milliseconds."""
+
+import asyncio
+import time
+
+
+class Clock:
+    """Reads and waits in milliseconds.
+
+    Tests replace it with :class:`ManualClock`.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = ()
+
+    def now_ms(self) -> int:
+        """Return a monotonic time, in ms, with an arbitrary origin."""
+        return time.monotonic_ns() // 1_000_000
+
+    def wall_ms(self) -> int:
+        """Return the time since the Unix epoch, in ms."""
+        return time.time_ns() // 1_000_000
+
+    async def sleep_ms(self, delay_ms: float) -> None:
+        """Suspend the calling task.
+
+        :param delay_ms: how long, in ms.
+        """
+        await asyncio.sleep(delay_ms / 1000)
+
+
+class ManualClock(Clock):
+    """A clock that moves only when told to.
+
+    :param start_ms: the first reading of both clocks, in ms.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = ("_now_ms",)
+
+    def __init__(self, start_ms: int = 1_000_000) -> None:
+        self._now_ms = start_ms
+
+    def now_ms(self) -> int:
+        return self._now_ms
+
+    def wall_ms(self) -> int:
+        return self._now_ms
+
+    def advance(self, delta_ms: int) -> None:
+        """Move both clocks forward.
+
+        :param delta_ms: how far, in ms.
+        """
+        self._now_ms += delta_ms
+
+    async def sleep_ms(self, delay_ms: float) -> None:
+        self.advance(int(delay_ms))
+        await asyncio.sleep(0)
--- /dev/null
+++ b/src/bulrushdale/control/__init__.py
@@ -0,0 +1,1 @@
+"""Messages that two routers exchange on their standing link."""
--- /dev/null
+++ b/src/bulrushdale/daemon.py
@@ -0,0 +1,384 @@
+"""The router daemon: the composition root and its background work."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import ssl
+import typing
+
+import aiohttp
+from aiohttp import web
+import aiomisc
+
+from bulrushdale.admission import desks as desks_module
+from bulrushdale.admission import seats as seats_module
+from bulrushdale.answers import ids
+from bulrushdale.catalogue import fold
+from bulrushdale.catalogue import publisher as publisher_module
+from bulrushdale.catalogue import tail as tail_module
+from bulrushdale.catalogue import view as view_module
+from bulrushdale.claims import holder as holder_module
+from bulrushdale import clock as clock_module
+from bulrushdale import explain
+from bulrushdale.fleet import links as links_module
+from bulrushdale.fleet import members as members_module
+from bulrushdale.fleet import targets as targets_module
+from bulrushdale import parts as parts_module
+from bulrushdale.platform import log as log_module
+from bulrushdale.platform import vms
+from bulrushdale import settings as settings_module
+from bulrushdale import telemetry as telemetry_module
+from bulrushdale import traffic
+from bulrushdale.web import callers
+from bulrushdale.web import operators
+
+LOG = logging.getLogger(__name__)
+
+SEATS_INTERVAL_MS = 100
+RETIRE_INTERVAL_MS = 30_000
+DRAIN_POLL_MS = 50
+# After this long without news of the platform a router reads for itself.
+NEWS_LIMIT_MS = 4_000
+CALLER_CONNECTIONS = 0
+
+
+def wire(
+    settings: settings_module.Settings,
+    clock: clock_module.Clock,
+    session: aiohttp.ClientSession,
+    once_session: aiohttp.ClientSession,
+) -> tuple[parts_module.Parts, traffic.Traffic]:
+    """Build the parts of a router and connect them.
+
+    :param settings: the router's settings.
+    :param clock: the clock.
+    :param session: the session for calls that may be sent again.
+    :param once_session: the session for calls that may not.
+    """
+    own = members_module.Member(settings.router, settings.data_centre)
+    listen = settings.listen
+    own.link_address = f"{listen.host}:{listen.link_port}"
+    scheme = "https" if settings.tls else "http"
+    own.operator_address = f"{scheme}://{listen.host}:{listen.operator_port}"
+    own.started_ms = clock.wall_ms()
+    members = members_module.Members(own, clock, settings.links.forget_ms)
+    platform = settings.platform
+    log = log_module.LogClient(
+        session, platform.log_url, platform.request_timeout_ms, clock
+    )
+    vm_list = vms.VmListClient(
+        session, platform.vm_list_url, platform.request_timeout_ms
+    )
+    catalogue = fold.Catalogue()
+    view = view_module.View(catalogue)
+    targets = targets_module.Targets(view, settings.data_centre, clock)
+    handlers = traffic.Traffic(clock)
+    links = links_module.Links(
+        members,
+        handlers,
+        clock,
+        settings.fleet_secret,
+        settings.links.heartbeat_interval_ms,
+        settings.links.switch_ms,
+    )
+    seats = seats_module.Seats(
+        own.name,
+        view,
+        targets,
+        members,
+        links,
+        clock,
+        settings.links.lease_ms,
+    )
+    desks = desks_module.Desks(
+        own.name,
+        view,
+        targets,
+        members,
+        links,
+        clock,
+        settings.links.lease_ms,
+        seats.answered_own,
+        random.Random(),
+    )
+    seats.bind(desks)
+    holder = holder_module.Holder(
+        own.name,
+        members,
+        links,
+        log,
+        clock,
+        lambda: view.promise().key_life_ms,
+    )
+    parts = parts_module.Parts(
+        settings=settings,
+        clock=clock,
+        telemetry=telemetry_module.Telemetry(settings),
+        session=session,
+        once_session=once_session,
+        catalogue=catalogue,
+        view=view,
+        publisher=publisher_module.Publisher(catalogue, log, clock),
+        tail=tail_module.Tail(
+            catalogue, log, clock, platform.retention_ms, handlers.folded
+        ),
+        log=log,
+        vm_list=vm_list,
+        members=members,
+        links=links,
+        targets=targets,
+        seats=seats,
+        desks=desks,
+        holder=holder,
+        signer=ids.Signer(settings.answer_secrets),
+        stories=explain.Stories(settings.limits.explain_entries, clock),
+        activity=parts_module.Activity(),
+        spread=handlers.spread,
+    )
+    handlers.bind(parts)
+    return parts, handlers
+
+
+class RouterService(aiomisc.Service):
+    """Runs one router until it is told to stop, then drains it.
+
+    :param settings: the router's settings.
+
+    .. versionadded:: 0.1
+    """
+
+    settings: settings_module.Settings
+
+    async def start(self) -> None:
+        """Open the ports and start the background work."""
+        self._clock = clock_module.Clock()
+        self._stack = contextlib.AsyncExitStack()
+        session = await self._stack.enter_async_context(
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=20)
+            )
+        )
+        once_session = await self._stack.enter_async_context(
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, force_close=True)
+            )
+        )
+        self._parts, self._traffic = wire(
+            self.settings, self._clock, session, once_session
+        )
+        self._add_gauges()
+        listen = self.settings.listen
+        await self._parts.links.start(listen.host, listen.link_port)
+        self._work = [
+            asyncio.create_task(self._every(interval_ms, job))
+            for interval_ms, job in self._jobs()
+        ]
+        self._operator_runner = await self._serve(
+            operators.build(self._parts), listen.operator_port, False
+        )
+        self._caller_runner = await self._serve(
+            callers.build(self._parts), listen.caller_port, True
+        )
+        LOG.info("router started")
+
+    def _jobs(
+        self,
+    ) -> list[tuple[int, typing.Callable[[], typing.Awaitable[None]]]]:
+        poll_ms = self.settings.platform.poll_interval_ms
+        return [
+            (poll_ms, self._follow_log),
+            (poll_ms, self._follow_list),
+            (SEATS_INTERVAL_MS, self._keep_seats),
+            (targets_module.PROBE_INTERVAL_MS, self._probe),
+            (RETIRE_INTERVAL_MS, self._parts.holder.retire),
+        ]
+
+    async def _every(
+        self,
+        interval_ms: int,
+        job: typing.Callable[[], typing.Awaitable[None]],
+    ) -> None:
+        while True:
+            try:
+                await job()
+            except Exception:
+                LOG.exception("background work failed")
+            await self._clock.sleep_ms(interval_ms)
+
+    async def _serve(
+        self, app: web.Application, port: int, cancel: bool
+    ) -> web.AppRunner:
+        runner = web.AppRunner(
+            app,
+            handler_cancellation=cancel,
+            access_log=None,
+            shutdown_timeout=1.0,
+        )
+        await runner.setup()
+        site = web.TCPSite(
+            runner, self.settings.listen.host, port, ssl_context=self._tls()
+        )
+        await site.start()
+        return runner
+
+    def _tls(self) -> ssl.SSLContext | None:
+        tls = self.settings.tls
+        if tls is None:
+            return None
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        context.load_cert_chain(tls.certificate_file, tls.key_file)
+        return context
+
+    def _add_gauges(self) -> None:
+        parts = self._parts
+        gauge = parts.telemetry.gauge
+        gauge(
+            "control_bytes",
+            "Bytes of all frames on links, both ways.",
+            parts.links.total_bytes,
+        )
+        gauge(
+            "requests_in_flight",
+            "Requests being served.",
+            lambda: parts.activity.requests,
+        )
+        gauge(
+            "catalogue_offset",
+            "The next catalogue record to fold.",
+            lambda: parts.catalogue.offset,
+        )
+        gauge("links", "Standing links.", lambda: len(parts.links.all()))
+
+    def _stale(self, newest: typing.Iterable[int | None]) -> bool:
+        """Whether none of some readings of the platform is recent."""
+        times_ms = [time_ms for time_ms in newest if time_ms is not None]
+        if not times_ms:
+            return True
+        return self._clock.now_ms() - max(times_ms) > NEWS_LIMIT_MS
+
+    async def _follow_log(self) -> None:
+        parts = self._parts
+        members = parts.members
+        peers = members.linked(members.own.data_centre)
+        news = [parts.tail.read_ms, *(peer.log_read_ms for peer in peers)]
+        if not members.reads_log() and not self._stale(news):
+            return
+        try:
+            await parts.tail.poll()
+            if members.writes_snapshots() and parts.tail.snapshot_due(
+                self._snapshot_delay_ms()
+            ):
+                await parts.tail.append_snapshot()
+        except log_module.LogUnavailableError as error:
+            LOG.warning("the log can't be read: %s", error)
+
+    def _snapshot_delay_ms(self) -> int:
+        """Return a wait that lets one data centre go first."""
+        centres = sorted(
+            {m.data_centre for m in self._parts.members.everyone()}
+        )
+        place = centres.index(self.settings.data_centre)
+        return place * self.settings.platform.retention_ms // 64
+
+    async def _follow_list(self) -> None:
+        parts = self._parts
+        members = parts.members
+        peers = members.linked(members.own.data_centre)
+        news = [
+            self._traffic.list_read_ms,
+            *(peer.list_read_ms for peer in peers),
+        ]
+        if not members.reads_log() and not self._stale(news):
+            return
+        try:
+            version, listed = await parts.vm_list.read()
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return
+        self._traffic.read_list(version, listed)
+
+    async def _keep_seats(self) -> None:
+        if self._parts.catalogue.loaded:
+            self._parts.seats.maintain()
+            self._parts.desks.tick()
+
+    async def _probe(self) -> None:
+        parts = self._parts
+        probed = parts.desks.probed()
+        if not probed:
+            return
+        await asyncio.gather(
+            *(
+                targets_module.probe(parts.session, parts.targets, target)
+                for target in probed
+            )
+        )
+        for target in probed:
+            parts.desks.note_report(target)
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Drain: finish every request, then close.
+
+        :param exception: why the daemon stops, if not on a signal.
+        """
+        limits = self.settings.limits
+        parts = self._parts
+        parts.activity.draining = True
+        parts.members.own.draining = True
+        parts.links.beat()
+        LOG.info("draining")
+        await self._clock.sleep_ms(limits.drain_notice_ms)
+        deadline_ms = self._clock.now_ms() + limits.drain_timeout_ms
+        await self._close_caller_port()
+        while self._busy() and self._clock.now_ms() < deadline_ms:
+            await self._clock.sleep_ms(DRAIN_POLL_MS)
+        left_ms = max(0, deadline_ms - self._clock.now_ms())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(left_ms / 1000):
+                await parts.holder.flush()
+        LOG.info("drained", extra={"requests_left": parts.activity.requests})
+        await self._close()
+
+    async def _close_caller_port(self) -> None:
+        for site in list(self._caller_runner.sites):
+            await site.stop()
+
+    def _busy(self) -> bool:
+        parts = self._parts
+        attached = [
+            router
+            for key in parts.desks.active()
+            for router in parts.desks.attached(key)
+            if router != parts.members.own.name
+        ]
+        return bool(parts.activity.requests or attached)
+
+    async def _close(self) -> None:
+        for task in self._work:
+            task.cancel()
+        await self._parts.holder.stop()
+        await self._caller_runner.cleanup()
+        await self._operator_runner.cleanup()
+        await self._parts.links.stop()
+        await self._stack.aclose()
+        self._parts.telemetry.shutdown()
+
+
+def run(settings: settings_module.Settings) -> None:
+    """Run a router until SIGTERM or SIGINT.
+
+    :param settings: the router's settings.
+    """
+    telemetry_module.configure_logs(
+        settings.router, settings.telemetry.log_level
+    )
+    limits = settings.limits
+    timeout_ms = limits.drain_notice_ms + limits.drain_timeout_ms + 10_000
+    service = RouterService(settings=settings)
+    with aiomisc.entrypoint(
+        service,
+        log_config=False,
+        pool_size=2,
+        shutdown_timeout=timeout_ms / 1000,
+    ) as loop:
+        loop.run_forever()
--- /dev/null
+++ b/src/bulrushdale/explain.py
@@ -0,0 +1,73 @@
+"""What became of recent requests, for people."""
+
+import collections
+import typing
+
+from bulrushdale import clock as clock_module
+
+
+class Story:
+    """The steps of one request.
+
+    :param request_id: its id.
+    :param clock: the clock.
+    """
+
+    __slots__ = ("request_id", "team", "_clock", "_start_ms", "steps", "code")
+
+    def __init__(self, request_id: str, clock: clock_module.Clock) -> None:
+        self.request_id = request_id
+        self.team = ""
+        self.code: int | None = None
+        self._clock = clock
+        self._start_ms = clock.now_ms()
+        self.steps: list[tuple[int, str, str]] = []
+
+    def step(self, name: str, detail: str = "") -> None:
+        """Add a step at the present time."""
+        elapsed_ms = self._clock.now_ms() - self._start_ms
+        self.steps.append((elapsed_ms, name, detail))
+
+    def as_dict(self) -> dict[str, typing.Any]:
+        """Return the story for an operator."""
+        return {
+            "request_id": self.request_id,
+            "team": self.team,
+            "code": self.code,
+            "steps": [
+                {"elapsed_ms": at, "step": name, "detail": detail}
+                for at, name, detail in self.steps
+            ],
+        }
+
+
+class Stories:
+    """The most recent requests of one router.
+
+    :param limit: how many are kept.
+    :param clock: the clock.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = ("_limit", "_clock", "_stories")
+
+    def __init__(self, limit: int, clock: clock_module.Clock) -> None:
+        self._limit = limit
+        self._clock = clock
+        self._stories: collections.OrderedDict[str, Story] = (
+            collections.OrderedDict()
+        )
+
+    def begin(self, request_id: str) -> Story:
+        """Start the story of a request."""
+        story = Story(request_id, self._clock)
+        if self._limit:
+            self._stories[request_id] = story
+            while len(self._stories) > self._limit:
+                self._stories.popitem(last=False)
+        return story
+
+    def find(self, request_id: str) -> Story | None:
+        """Return the story of a request, if it is still kept."""
+        return self._stories.get(request_id)
--- /dev/null
+++ b/src/bulrushdale/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Which routers and targets are live, and the links between routers."""
--- /dev/null
+++ b/src/bulrushdale/fleet/links.py
@@ -0,0 +1,389 @@
+"""Standing links between routers.
+
+Two routers share one stream. The router whose name sorts first dials; the
+other one dials only if it has waited in vain. One task reads a link and one
+writes it, and whatever is queued between two writes goes out in one frame.
+"""
+
+import asyncio
+import hashlib
+import hmac
+import logging
+import typing
+
+from grpclib import client
+from grpclib import exceptions
+from grpclib import server
+
+from bulrushdale import clock as clock_module
+from bulrushdale.control import control_grpc
+from bulrushdale.control import control_pb2 as pb
+from bulrushdale.fleet import members as members_module
+
+LOG = logging.getLogger(__name__)
+
+# gRPC message prefix and HTTP/2 frame header of each message.
+FRAME_OVERHEAD_BYTES = 14
+DIAL_INTERVAL_MS = 500
+DIAL_TIMEOUT_MS = 1_500
+PATIENCE_MS = 3_000
+AUTH_WINDOW_MS = 120_000
+CLOCK_MASK = 0xFFFFFFFF
+LINK_ERRORS = (
+    OSError,
+    TimeoutError,
+    exceptions.GRPCError,
+    exceptions.StreamTerminatedError,
+    exceptions.ProtocolError,
+)
+
+
+class Link:
+    """One end of the stream to one peer.
+
+    :param peer: the router at the other end.
+    :param now_ms: when it opened, in ms.
+
+    :ivar heard_ms: when the newest frame arrived, in ms.
+    :ivar echo_ms: the newest of this router's own clock readings that the
+        peer has sent back; the peer's leases run from it.
+    """
+
+    __slots__ = (
+        "peer",
+        "heard_ms",
+        "echo_ms",
+        "peer_clock_ms",
+        "bytes_in",
+        "bytes_out",
+        "frames_in",
+        "closed",
+        "_pending",
+        "_wake",
+    )
+
+    def __init__(self, peer: members_module.Member, now_ms: int) -> None:
+        self.peer = peer
+        self.heard_ms = now_ms
+        self.echo_ms: int | None = None
+        self.peer_clock_ms = 0
+        self.bytes_in = 0
+        self.bytes_out = 0
+        self.frames_in = 0
+        self.closed = asyncio.Event()
+        self._pending = pb.Frame()
+        self._wake = asyncio.Event()
+
+    def queue(self) -> pb.Frame:
+        """Return the frame that goes out next, to add messages to it."""
+        self._wake.set()
+        return self._pending
+
+    async def next_frame(self) -> pb.Frame:
+        """Wait until something is queued and take it."""
+        await self._wake.wait()
+        self._wake.clear()
+        frame = self._pending
+        self._pending = pb.Frame()
+        return frame
+
+    def close(self) -> None:
+        """End both tasks of the link."""
+        self.closed.set()
+        self._wake.set()
+
+
+class Handlers(typing.Protocol):
+    """What the rest of the router does with links."""
+
+    def heartbeat(self) -> pb.Heartbeat:
+        """Return this router's state for its peers."""
+
+    def opened(self, link: Link) -> None:
+        """Note a new link."""
+
+    def received(self, link: Link, frame: pb.Frame) -> None:
+        """Handle the messages of one frame."""
+
+    def lost(self, link: Link) -> None:
+        """Note that a link is gone."""
+
+
+class Links(control_grpc.ControlBase):
+    """All standing links of one router.
+
+    :param members: the routers known.
+    :param handlers: who handles frames.
+    :param clock: the clock.
+    :param secret: shared by all routers; it authenticates them.
+    :param heartbeat_interval_ms: time between heartbeats, in ms.
+    :param switch_ms: a link silent for this long is closed, in ms.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        members: members_module.Members,
+        handlers: Handlers,
+        clock: clock_module.Clock,
+        secret: str,
+        heartbeat_interval_ms: int,
+        switch_ms: int,
+    ) -> None:
+        self._members = members
+        self._handlers = handlers
+        self._clock = clock
+        self._secret = secret.encode()
+        self._heartbeat_interval_ms = heartbeat_interval_ms
+        self._switch_ms = switch_ms
+        self._links: dict[str, Link] = {}
+        self._dialling: dict[str, asyncio.Task[None]] = {}
+        self._wanted_since_ms: dict[str, int] = {}
+        self._server: server.Server | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._retired_bytes = 0
+
+    def get(self, name: str) -> Link | None:
+        """Return the link to a router, if there is one."""
+        return self._links.get(name)
+
+    def all(self) -> list[Link]:
+        """Return all links."""
+        return list(self._links.values())
+
+    def total_bytes(self) -> int:
+        """Return the bytes of all frames since the start, both ways."""
+        open_bytes = sum(
+            link.bytes_in + link.bytes_out for link in self._links.values()
+        )
+        return self._retired_bytes + open_bytes
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen, and keep dialling the routers that are wanted."""
+        self._server = server.Server([self])
+        await self._server.start(host, port)
+        self._tasks = [
+            asyncio.create_task(self._dial_forever()),
+            asyncio.create_task(self._beat_forever()),
+        ]
+
+    async def stop(self) -> None:
+        """Close every link."""
+        for task in [*self._tasks, *self._dialling.values()]:
+            task.cancel()
+        for link in self.all():
+            link.close()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    async def _dial_forever(self) -> None:
+        while True:
+            self._dial_missing()
+            await self._clock.sleep_ms(DIAL_INTERVAL_MS)
+
+    def _dial_missing(self) -> None:
+        now_ms = self._clock.now_ms()
+        for member in self._members.everyone():
+            name = member.name
+            if not self._members.wants_link(member) or name in self._links:
+                self._wanted_since_ms.pop(name, None)
+                continue
+            since_ms = self._wanted_since_ms.setdefault(name, now_ms)
+            patient = now_ms - since_ms < PATIENCE_MS
+            if name < self._members.own.name and patient:
+                continue
+            self._start_dial(member)
+
+    def _start_dial(self, member: members_module.Member) -> None:
+        name = member.name
+        if name in self._dialling:
+            return
+        task = asyncio.create_task(self._dial(member))
+        self._dialling[name] = task
+
+        def forget(_: "asyncio.Task[None]") -> None:
+            self._dialling.pop(name, None)
+
+        task.add_done_callback(forget)
+
+    async def _dial(self, member: members_module.Member) -> None:
+        host, _, port = member.link_address.rpartition(":")
+        channel = client.Channel(host, int(port))
+        try:
+            async with asyncio.timeout(DIAL_TIMEOUT_MS / 1000):
+                await channel.__connect__()
+        except ConnectionRefusedError:
+            member.refused = True
+            channel.close()
+            return
+        except (OSError, TimeoutError):
+            channel.close()
+            return
+        stub = control_grpc.ControlStub(channel)
+        try:
+            async with stub.Exchange.open(
+                metadata=self._credentials()
+            ) as stream:
+                await stream.send_message(self._hello())
+                await self._run(stream)
+        except LINK_ERRORS as error:
+            LOG.debug("link to %s failed: %r", member.name, error)
+        finally:
+            channel.close()
+
+    async def Exchange(  # noqa: N802
+        self, stream: "server.Stream[pb.Frame, pb.Frame]"
+    ) -> None:
+        """Serve a link that a peer has dialled."""
+        if not self._authentic(stream.metadata):
+            LOG.warning("a link with wrong credentials was refused")
+            return
+        try:
+            await stream.send_message(self._hello())
+            await self._run(stream)
+        except LINK_ERRORS as error:
+            LOG.debug("accepted link failed: %r", error)
+
+    def _hello(self) -> pb.Frame:
+        own = self._members.own
+        hello = pb.Hello(
+            router=own.name,
+            data_centre=own.data_centre,
+            link_address=own.link_address,
+            operator_address=own.operator_address,
+            started_ms=own.started_ms,
+            catalogue_offset=own.catalogue_offset,
+        )
+        beat = self._handlers.heartbeat()
+        beat.sent_ms = self._clock.now_ms() & CLOCK_MASK
+        return pb.Frame(hello=hello, heartbeat=beat)
+
+    def _credentials(self) -> dict[str, str]:
+        stamp = f"{self._members.own.name} {self._clock.wall_ms()}"
+        return {"x-router": stamp, "x-proof": self._proof(stamp)}
+
+    def _proof(self, stamp: str) -> str:
+        return hmac.new(
+            self._secret, stamp.encode(), hashlib.sha256
+        ).hexdigest()
+
+    def _authentic(self, metadata: typing.Any) -> bool:
+        stamp = str(metadata.get("x-router", ""))
+        proof = str(metadata.get("x-proof", ""))
+        if not hmac.compare_digest(proof, self._proof(stamp)):
+            return False
+        try:
+            sent_ms = int(stamp.rpartition(" ")[2])
+        except ValueError:
+            return False
+        return abs(self._clock.wall_ms() - sent_ms) < AUTH_WINDOW_MS
+
+    async def _run(self, stream: typing.Any) -> None:
+        """Carry one link until either side ends it."""
+        first = await stream.recv_message()
+        if first is None or not first.HasField("hello"):
+            return
+        link = self._open(first)
+        self._note_heartbeat(link, first.heartbeat)
+        self._beat_one(link, self._handlers.heartbeat())
+        writer = asyncio.create_task(self._write(link, stream))
+        reader = asyncio.create_task(self._read(link, stream, first))
+        closer = asyncio.create_task(link.closed.wait())
+        tasks: list[asyncio.Task[typing.Any]] = [writer, reader, closer]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            self._lose(link)
+
+    def _open(self, first: pb.Frame) -> Link:
+        hello = first.hello
+        member = self._members.ensure(hello.router, hello.data_centre)
+        if not member.link_address:
+            member.link_address = hello.link_address
+        member.operator_address = hello.operator_address
+        member.started_ms = hello.started_ms
+        member.refused = False
+        member.linked = True
+        now_ms = self._clock.now_ms()
+        member.heard_ms = now_ms
+        link = Link(member, now_ms)
+        older = self._links.get(member.name)
+        self._links[member.name] = link
+        if older is not None:
+            older.close()
+        self._handlers.opened(link)
+        return link
+
+    def _lose(self, link: Link) -> None:
+        link.closed.set()
+        self._retired_bytes += link.bytes_in + link.bytes_out
+        link.bytes_in = link.bytes_out = 0
+        if self._links.get(link.peer.name) is not link:
+            return
+        del self._links[link.peer.name]
+        link.peer.linked = False
+        self._handlers.lost(link)
+        self._probe_now(link.peer)
+
+    def _probe_now(self, member: members_module.Member) -> None:
+        """Dial at once: a refusal tells a dead process from a cut."""
+        if self._members.wants_link(member):
+            self._start_dial(member)
+
+    async def _write(self, link: Link, stream: typing.Any) -> None:
+        while not link.closed.is_set():
+            frame = await link.next_frame()
+            link.bytes_out += frame.ByteSize() + FRAME_OVERHEAD_BYTES
+            await stream.send_message(frame)
+
+    async def _read(
+        self, link: Link, stream: typing.Any, first: pb.Frame
+    ) -> None:
+        frame: pb.Frame | None = first
+        while frame is not None:
+            link.bytes_in += frame.ByteSize() + FRAME_OVERHEAD_BYTES
+            link.frames_in += 1
+            link.heard_ms = self._clock.now_ms()
+            link.peer.heard_ms = link.heard_ms
+            if frame.HasField("heartbeat") and frame is not first:
+                self._note_heartbeat(link, frame.heartbeat)
+            self._handlers.received(link, frame)
+            frame = await stream.recv_message()
+
+    def _note_heartbeat(self, link: Link, beat: pb.Heartbeat) -> None:
+        now_ms = self._clock.now_ms()
+        link.peer_clock_ms = beat.sent_ms
+        if beat.echo_ms:
+            age_ms = (now_ms - beat.echo_ms) & CLOCK_MASK
+            link.echo_ms = now_ms - age_ms
+        peer = link.peer
+        peer.draining = beat.draining
+        peer.catalogue_offset = beat.catalogue_offset
+        peer.log_read_ms = now_ms - beat.log_age_ms
+        peer.list_read_ms = now_ms - beat.list_age_ms
+
+    async def _beat_forever(self) -> None:
+        while True:
+            self.beat()
+            await self._clock.sleep_ms(self._heartbeat_interval_ms)
+
+    def beat(self) -> None:
+        """Queue a heartbeat on every link and close the silent ones."""
+        now_ms = self._clock.now_ms()
+        beat = self._handlers.heartbeat()
+        for link in self.all():
+            if now_ms - link.heard_ms > self._switch_ms:
+                LOG.warning("link to %s is silent, closing", link.peer.name)
+                link.close()
+                continue
+            self._beat_one(link, beat)
+
+    def _beat_one(self, link: Link, beat: pb.Heartbeat) -> None:
+        beat.sent_ms = self._clock.now_ms() & CLOCK_MASK
+        beat.echo_ms = link.peer_clock_ms
+        link.queue().heartbeat.CopyFrom(beat)
--- /dev/null
+++ b/src/bulrushdale/fleet/members.py
@@ -0,0 +1,206 @@
+"""The routers that one router knows of.
+
+Views differ between routers for seconds; nothing that must hold rests on
+their agreement.
+"""
+
+from collections import abc
+
+from bulrushdale import clock as clock_module
+from bulrushdale import hashing
+from bulrushdale.platform import vms
+
+GATEWAYS = 2
+LOG_READERS = 2
+
+
+class Member:
+    """One router as another one sees it.
+
+    :ivar listed: whether the platform lists it.
+    :ivar leaving: whether the platform says that it is about to stop.
+    :ivar refused: whether its port refused the last connection, which
+        shows that its process is gone.
+    :ivar heard_ms: when a message from it last arrived, if ever.
+    """
+
+    __slots__ = (
+        "name",
+        "data_centre",
+        "link_address",
+        "operator_address",
+        "listed",
+        "leaving",
+        "refused",
+        "heard_ms",
+        "linked",
+        "draining",
+        "catalogue_offset",
+        "log_read_ms",
+        "list_read_ms",
+        "started_ms",
+    )
+
+    def __init__(self, name: str, data_centre: str) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.link_address = ""
+        self.operator_address = ""
+        self.listed = False
+        self.leaving = False
+        self.refused = False
+        self.heard_ms: int | None = None
+        self.linked = False
+        self.draining = False
+        self.catalogue_offset = 0
+        self.log_read_ms: int | None = None
+        self.list_read_ms: int | None = None
+        self.started_ms = 0
+
+
+class Members:
+    """The routers that this router knows of, itself included.
+
+    :param own: this router.
+    :param clock: the clock.
+    :param forget_ms: how long an unlisted, silent router still counts.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = ("own", "_clock", "_forget_ms", "_members", "list_version")
+
+    def __init__(
+        self, own: Member, clock: clock_module.Clock, forget_ms: int
+    ) -> None:
+        self.own = own
+        self._clock = clock
+        self._forget_ms = forget_ms
+        self._members = {own.name: own}
+        self.list_version = 0
+
+    def get(self, name: str) -> Member | None:
+        return self._members.get(name)
+
+    def everyone(self) -> list[Member]:
+        """Return all known routers, by name."""
+        return [self._members[name] for name in sorted(self._members)]
+
+    def ensure(self, name: str, data_centre: str) -> Member:
+        """Return a router, adding it if it was not known."""
+        member = self._members.get(name)
+        if member is None:
+            member = Member(name, data_centre)
+            self._members[name] = member
+        return member
+
+    def apply_list(self, version: int, listed: abc.Iterable[vms.Vm]) -> bool:
+        """Take over the platform's list.
+
+        :param version: the list's version; an older one is ignored.
+        :param listed: all VMs; targets are passed over.
+        :return: whether the list was taken.
+        """
+        if version < self.list_version:
+            return False
+        self.list_version = version
+        routers = {vm.name: vm for vm in listed if vm.router}
+        for name, vm in routers.items():
+            member = self.ensure(name, vm.data_centre)
+            if member is not self.own:
+                if member.link_address != vm.address:
+                    member.refused = False
+                member.link_address = vm.address
+            member.operator_address = vm.operator_address
+            member.listed = True
+            member.leaving = vm.leaving
+        for name, member in list(self._members.items()):
+            if name not in routers:
+                member.listed = False
+                self._forget_if_gone(member)
+        return True
+
+    def _forget_if_gone(self, member: Member) -> None:
+        if member is self.own or member.linked or member.listed:
+            return
+        if not member.refused and self._heard_lately(member):
+            return
+        del self._members[member.name]
+
+    def _heard_lately(self, member: Member) -> bool:
+        if member.heard_ms is None:
+            return False
+        return self._clock.now_ms() - member.heard_ms < self._forget_ms
+
+    def linked(self, data_centre: str | None = None) -> list[Member]:
+        """Return routers with a standing link, in one data centre or all."""
+        return [
+            member
+            for member in self._members.values()
+            if member.linked
+            and (data_centre is None or member.data_centre == data_centre)
+        ]
+
+    def share_names(self) -> list[str]:
+        """Return routers that may be granting slots in this data centre.
+
+        A router that can't be reached counts for as long as the platform
+        lists it: it may be serving on the far side of a cut.
+        """
+        return [
+            member.name
+            for member in self._members.values()
+            if member.data_centre == self.own.data_centre
+            and (member is self.own or self._may_be_alive(member))
+        ]
+
+    def _may_be_alive(self, member: Member) -> bool:
+        if member.linked:
+            return True
+        if member.refused:
+            return False
+        return member.listed or self._heard_lately(member)
+
+    def eligible(self) -> list[str]:
+        """Return routers here that may take over duties, by name."""
+        return sorted(
+            member.name
+            for member in self._members.values()
+            if member.data_centre == self.own.data_centre
+            and (member is self.own or member.linked)
+            and not member.draining
+        )
+
+    def _on_duty(self, label: str, names: list[str], count: int) -> list[str]:
+        key = hashing.hash64(label.encode())
+        return hashing.rendezvous(key, names)[:count]
+
+    def reads_log(self) -> bool:
+        """Return whether this router reads the platform for its peers."""
+        readers = self._on_duty("log-reader", self.eligible(), LOG_READERS)
+        return self.own.name in readers
+
+    def writes_snapshots(self) -> bool:
+        """Return whether this router appends snapshots."""
+        writers = self._on_duty("snapshot", self.eligible(), 1)
+        return self.own.name in writers
+
+    def gateways(self, data_centre: str) -> list[str]:
+        """Return the routers that link a data centre to the others."""
+        names = [
+            member.name
+            for member in self._members.values()
+            if member.data_centre == data_centre
+            and (member is self.own or self._may_be_alive(member))
+        ]
+        return self._on_duty("gateway", names, GATEWAYS)
+
+    def wants_link(self, member: Member) -> bool:
+        """Return whether a standing link to *member* is wanted."""
+        if member is self.own or not member.link_address:
+            return False
+        if member.data_centre == self.own.data_centre:
+            return True
+        if self.own.name not in self.gateways(self.own.data_centre):
+            return False
+        return member.name in self.gateways(member.data_centre)
--- /dev/null
+++ b/src/bulrushdale/fleet/targets.py
@@ -0,0 +1,227 @@
+"""The targets of this data centre and whether they may get new work."""
+
+from collections import abc
+import logging
+
+import aiohttp
+import orjson
+
+from bulrushdale.catalogue import entries
+from bulrushdale.catalogue import view as view_module
+from bulrushdale import clock as clock_module
+from bulrushdale import hashing
+from bulrushdale.platform import vms
+
+LOG = logging.getLogger(__name__)
+
+PROBE_INTERVAL_MS = 1_000
+PROBE_TIMEOUT_MS = 1_000
+SLOW_START_MS = 5_000
+# With more of a pool's targets missing than this, the list is not believed.
+MISSING_SHARE = 0.5
+
+
+class Target:
+    """One target as its home sees it.
+
+    :ivar failed: whether a call or probe failed and no probe has
+        succeeded since.
+    :ivar says_leaving: whether the target itself asks for no new work.
+    :ivar reported: what the newest probe said is running there.
+    :ivar back_ms: when it came back from a failure, in ms.
+    """
+
+    __slots__ = (
+        "name",
+        "pool",
+        "url",
+        "slots",
+        "marked_leaving",
+        "failed",
+        "says_leaving",
+        "reported",
+        "probed_ms",
+        "back_ms",
+    )
+
+    def __init__(self, name: str, spec: entries.Target) -> None:
+        self.name = name
+        self.failed = False
+        self.says_leaving = False
+        self.reported = 0
+        self.probed_ms: int | None = None
+        self.back_ms: int | None = None
+        self.update(spec)
+
+    def update(self, spec: entries.Target) -> None:
+        """Take over what the catalogue says."""
+        self.pool = spec.pool
+        self.url = spec.url
+        self.slots = spec.slots
+        self.marked_leaving = spec.leaving
+
+
+class Targets:
+    """The targets of one data centre.
+
+    :param view: the catalogue.
+    :param data_centre: where this router is.
+    :param clock: the clock.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = (
+        "_view",
+        "_data_centre",
+        "_clock",
+        "_targets",
+        "_by_pool",
+        "_generation",
+        "_listed",
+        "_leaving",
+    )
+
+    def __init__(
+        self,
+        view: view_module.View,
+        data_centre: str,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._view = view
+        self._data_centre = data_centre
+        self._clock = clock
+        self._targets: dict[str, Target] = {}
+        self._by_pool: dict[str, list[Target]] = {}
+        self._generation = -1
+        self._listed: set[str] | None = None
+        self._leaving: set[str] = set()
+
+    def apply_list(self, listed: abc.Iterable[vms.Vm]) -> None:
+        """Take over the platform's list; routers are passed over."""
+        found = [vm for vm in listed if not vm.router]
+        self._listed = {vm.name for vm in found}
+        self._leaving = {vm.name for vm in found if vm.leaving}
+
+    def _refresh(self) -> None:
+        if self._generation == self._view.generation:
+            return
+        self._generation = self._view.generation
+        found: dict[str, Target] = {}
+        by_pool: dict[str, list[Target]] = {}
+        for pool in self._view.pool_names():
+            for name, spec in self._view.targets(pool).items():
+                if spec.data_centre != self._data_centre:
+                    continue
+                target = self._targets.get(name) or Target(name, spec)
+                target.update(spec)
+                found[name] = target
+                by_pool.setdefault(pool, []).append(target)
+        self._targets = found
+        self._by_pool = by_pool
+
+    def get(self, name: str) -> Target | None:
+        """Return a target of this data centre."""
+        self._refresh()
+        return self._targets.get(name)
+
+    def of_pool(self, pool: str) -> list[Target]:
+        """Return all targets of a pool here, usable or not."""
+        self._refresh()
+        return self._by_pool.get(pool, [])
+
+    def of_shard(self, pool: str, shard: int) -> list[Target]:
+        """Return a shard's targets that may get new work."""
+        shards = self.shard_count(pool)
+        return [
+            target
+            for target in self.stable(pool)
+            if not target.failed
+            and not target.says_leaving
+            and shard_of(target.name, shards) == shard
+        ]
+
+    def stable(self, pool: str) -> list[Target]:
+        """Return a pool's targets that are neither leaving nor missing.
+
+        Only the catalogue and the platform's list count here, so that
+        routers agree once they have read the same.
+        """
+        found = self.of_pool(pool)
+        missing = self._missing(found)
+        return [
+            target
+            for target in found
+            if not target.marked_leaving
+            and target.name not in self._leaving
+            and target.name not in missing
+        ]
+
+    def _missing(self, found: list[Target]) -> set[str]:
+        if self._listed is None:
+            return set()
+        missing = {t.name for t in found if t.name not in self._listed}
+        if len(missing) > MISSING_SHARE * len(found):
+            return set()
+        return missing
+
+    def shard_count(self, pool: str) -> int:
+        """Return the number of shards of a pool."""
+        spec = self._view.pool(pool)
+        return spec.shards if spec is not None else 1
+
+    def ramp(self, target: Target) -> float:
+        """Return the part of its bound that a target may have by now."""
+        if target.back_ms is None:
+            return 1.0
+        elapsed_ms = self._clock.now_ms() - target.back_ms
+        if elapsed_ms >= SLOW_START_MS:
+            target.back_ms = None
+            return 1.0
+        return max(0.1, elapsed_ms / SLOW_START_MS)
+
+    def note_failure(self, name: str) -> None:
+        """Give a target nothing new until a probe succeeds."""
+        target = self.get(name)
+        if target is not None and not target.failed:
+            LOG.warning("target %s failed", name)
+            target.failed = True
+
+    def note_report(self, target: Target, running: int, leaving: bool) -> None:
+        """Take over the answer of a probe."""
+        if target.failed:
+            target.failed = False
+            target.back_ms = self._clock.now_ms()
+        target.reported = running
+        target.says_leaving = leaving
+        target.probed_ms = self._clock.now_ms()
+
+
+def shard_of(name: str, shards: int) -> int:
+    """Return the shard that a target belongs to."""
+    if shards == 1:
+        return 0
+    return hashing.hash64(name.encode()) % shards
+
+
+async def probe(
+    session: aiohttp.ClientSession, targets: Targets, target: Target
+) -> int:
+    """Ask one target for its load.
+
+    :return: the bytes of the exchange, roughly.
+    """
+    timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_MS / 1000)
+    try:
+        async with session.get(
+            f"{target.url}/load", timeout=timeout
+        ) as response:
+            body = await response.read()
+            report = orjson.loads(body)
+            targets.note_report(
+                target, int(report["running"]), bool(report["leaving"])
+            )
+            return len(body) + 300
+    except (TimeoutError, aiohttp.ClientError, OSError, ValueError, KeyError):
+        targets.note_failure(target.name)
+        return 150
--- /dev/null
+++ b/src/bulrushdale/parts.py
@@ -0,0 +1,92 @@
+"""The parts of one router, as the composition root wires them."""
+
+import dataclasses
+import typing
+
+import aiohttp
+
+from bulrushdale.admission import desks as desks_module
+from bulrushdale.admission import seats as seats_module
+from bulrushdale.answers import ids
+from bulrushdale.catalogue import fold
+from bulrushdale.catalogue import publisher as publisher_module
+from bulrushdale.catalogue import tail as tail_module
+from bulrushdale.catalogue import view as view_module
+from bulrushdale.claims import holder as holder_module
+from bulrushdale import clock as clock_module
+from bulrushdale import explain
+from bulrushdale.fleet import links as links_module
+from bulrushdale.fleet import members as members_module
+from bulrushdale.fleet import targets as targets_module
+from bulrushdale.platform import log as log_module
+from bulrushdale.platform import vms
+from bulrushdale import settings as settings_module
+from bulrushdale import telemetry as telemetry_module
+
+
+class Activity:
+    """How many requests a router is serving, and whether it drains."""
+
+    __slots__ = ("requests", "draining", "retry_budget")
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.draining = False
+        self.retry_budget = RetryBudget()
+
+
+class RetryBudget:
+    """Limits retries to a part of the requests.
+
+    Each request earns a tenth of a retry, up to ten in store.
+    """
+
+    __slots__ = ("_store",)
+
+    EARNED = 0.1
+    MOST = 10.0
+
+    def __init__(self) -> None:
+        self._store = self.MOST
+
+    def earn(self) -> None:
+        """Note a request."""
+        self._store = min(self.MOST, self._store + self.EARNED)
+
+    def spend(self) -> bool:
+        """Return whether one retry may be made, and take it."""
+        if self._store < 1.0:
+            return False
+        self._store -= 1.0
+        return True
+
+
+@dataclasses.dataclass(slots=True)
+class Parts:
+    """Everything that requests need.
+
+    ``session`` keeps connections open; ``once_session`` opens one for each
+    call, so that no call is sent again on a connection that went stale.
+    """
+
+    settings: settings_module.Settings
+    clock: clock_module.Clock
+    telemetry: telemetry_module.Telemetry
+    session: aiohttp.ClientSession
+    once_session: aiohttp.ClientSession
+    catalogue: fold.Catalogue
+    view: view_module.View
+    publisher: publisher_module.Publisher
+    tail: tail_module.Tail
+    log: log_module.LogClient
+    vm_list: vms.VmListClient
+    members: members_module.Members
+    links: links_module.Links
+    targets: targets_module.Targets
+    seats: seats_module.Seats
+    desks: desks_module.Desks
+    holder: holder_module.Holder
+    signer: ids.Signer
+    stories: explain.Stories
+    activity: Activity
+    spread: typing.Callable[..., None]
--- /dev/null
+++ b/src/bulrushdale/results.py
@@ -0,0 +1,211 @@
+"""Numbered result codes and the outcome that carries one."""
+
+import dataclasses
+import enum
+
+
+class Ran(enum.StrEnum):
+    """Whether the refused request had any effect."""
+
+    YES = "yes"
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
+class Code(enum.IntEnum):
+    """The number of a result. ``docs/RESULT-CODES.md`` explains each."""
+
+    OK = 0
+    BAD_REQUEST = 2001
+    UNAUTHENTICATED = 2002
+    UNKNOWN_MODEL = 2003
+    BODY_TOO_LARGE = 2004
+    KEY_REQUIRED = 2005
+    KEY_MALFORMED = 2006
+    KEY_EXPIRED = 2007
+    KEY_REUSED = 2008
+    UNKNOWN_SERVICE = 2009
+    ANSWER_ID_INVALID = 2010
+    BODY_TOO_SLOW = 2011
+    NOT_FOUND = 2012
+    TEAM_LIMIT = 3001
+    QUEUE_FULL = 3002
+    QUEUE_DEADLINE = 3003
+    NO_TARGET = 3004
+    CLAIMS_UNAVAILABLE = 3006
+    NOT_READY = 3007
+    TOO_MANY_REQUESTS = 3008
+    TARGET_FAILED = 4001
+    ANSWER_CUT = 4002
+    OUTCOME_UNKNOWN = 4003
+    IN_PROGRESS = 4004
+    ANSWER_GONE = 4005
+    ENTRY_INVALID = 5001
+    EDIT_CONFLICT = 5002
+    LOG_UNAVAILABLE = 5003
+    ENTRY_NOT_FOUND = 5004
+    EDIT_UNKNOWN = 5005
+    PRECONDITION_REQUIRED = 5006
+    SETTINGS_INVALID = 6001
+    ROUTER_UNREACHABLE = 6002
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Meaning:
+    """What a code tells a caller.
+
+    :param status: the HTTP status sent with it.
+    :param ran: whether the request had an effect.
+    :param retry: whether the same request may succeed later.
+    :param advice: what the caller or operator does next.
+    """
+
+    status: int
+    ran: Ran
+    retry: bool
+    advice: str
+
+
+_NO = Ran.NO
+
+MEANINGS: dict[Code, Meaning] = {
+    Code.OK: Meaning(200, Ran.YES, False, "Nothing."),
+    Code.BAD_REQUEST: Meaning(400, _NO, False, "Correct the request."),
+    Code.UNAUTHENTICATED: Meaning(
+        401, _NO, False, "Send a key that the catalogue lists."
+    ),
+    Code.UNKNOWN_MODEL: Meaning(
+        404, _NO, False, "Ask for a model of GET /v1/models."
+    ),
+    Code.BODY_TOO_LARGE: Meaning(413, _NO, False, "Send a smaller body."),
+    Code.KEY_REQUIRED: Meaning(
+        400, _NO, False, "Send an Idempotency-Key with this call."
+    ),
+    Code.KEY_MALFORMED: Meaning(
+        400, _NO, False, "Send a UUID of version 7 as Idempotency-Key."
+    ),
+    Code.KEY_EXPIRED: Meaning(
+        410, Ran.UNKNOWN, False, "Look the effect up, then use a new key."
+    ),
+    Code.KEY_REUSED: Meaning(
+        422, _NO, False, "Use a new key for a request with another body."
+    ),
+    Code.UNKNOWN_SERVICE: Meaning(
+        404, _NO, False, "Call a service that the catalogue lists."
+    ),
+    Code.ANSWER_ID_INVALID: Meaning(
+        403, _NO, False, "Resume with an id from the team's own answer."
+    ),
+    Code.BODY_TOO_SLOW: Meaning(
+        408, _NO, True, "Send the body without pauses."
+    ),
+    Code.NOT_FOUND: Meaning(404, _NO, False, "Correct the path."),
+    Code.TEAM_LIMIT: Meaning(
+        429, _NO, True, "Wait for Retry-After, or raise the team's limit."
+    ),
+    Code.QUEUE_FULL: Meaning(
+        503, _NO, True, "Wait for Retry-After; the pool is saturated."
+    ),
+    Code.QUEUE_DEADLINE: Meaning(
+        503, _NO, True, "Wait for Retry-After; no slot came free in time."
+    ),
+    Code.NO_TARGET: Meaning(
+        503, _NO, True, "Check the pool's targets with 'bulrushdale fleet'."
+    ),
+    Code.CLAIMS_UNAVAILABLE: Meaning(
+        503, _NO, True, "Wait for Retry-After; the log can't be reached."
+    ),
+    Code.NOT_READY: Meaning(
+        503, _NO, True, "Wait for Retry-After; no catalogue is loaded yet."
+    ),
+    Code.TOO_MANY_REQUESTS: Meaning(
+        503, _NO, True, "Wait for Retry-After; this router is full."
+    ),
+    Code.TARGET_FAILED: Meaning(
+        502, Ran.UNKNOWN, False, "Look the effect up before a new key."
+    ),
+    Code.ANSWER_CUT: Meaning(
+        502, Ran.YES, True, "Discard the partial answer and ask again."
+    ),
+    Code.OUTCOME_UNKNOWN: Meaning(
+        409, Ran.UNKNOWN, False, "Look the effect up before a new key."
+    ),
+    Code.IN_PROGRESS: Meaning(
+        409, Ran.UNKNOWN, True, "Ask again with the same key."
+    ),
+    Code.ANSWER_GONE: Meaning(
+        410, Ran.YES, False, "Ask again; the engine no longer has it."
+    ),
+    Code.ENTRY_INVALID: Meaning(422, _NO, False, "Correct the entry."),
+    Code.EDIT_CONFLICT: Meaning(
+        412, _NO, False, "Read the entry again and repeat the edit."
+    ),
+    Code.LOG_UNAVAILABLE: Meaning(
+        503, _NO, True, "Wait for Retry-After; nothing was written."
+    ),
+    Code.ENTRY_NOT_FOUND: Meaning(404, _NO, False, "Correct the name."),
+    Code.EDIT_UNKNOWN: Meaning(
+        504, Ran.UNKNOWN, False, "Read the entry to see if it changed."
+    ),
+    Code.PRECONDITION_REQUIRED: Meaning(
+        428, _NO, False, "Send If-Match, or If-None-Match: * to create."
+    ),
+    Code.SETTINGS_INVALID: Meaning(
+        0, _NO, False, "Correct the settings file."
+    ),
+    Code.ROUTER_UNREACHABLE: Meaning(
+        0, Ran.UNKNOWN, True, "Check --router and that it runs."
+    ),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a request was not answered.
+
+    :param code: the numbered result.
+    :param detail: one sentence for a person.
+    :param retry_after_ms: when to come back, in ms; zero says nothing.
+    :param ran: whether it had an effect, where the code alone can't say.
+    """
+
+    code: Code
+    detail: str
+    retry_after_ms: int = 0
+    ran: Ran | None = None
+
+    @property
+    def meaning(self) -> Meaning:
+        return MEANINGS[self.code]
+
+    @property
+    def effect(self) -> Ran:
+        """Whether the request had an effect."""
+        return self.ran if self.ran is not None else self.meaning.ran
+
+
+class RefusedError(Exception):
+    """Ends a request with a :class:`Refusal`.
+
+    :param refusal: what the caller is told.
+    """
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(f"{int(refusal.code)} {refusal.detail}")
+        self.refusal = refusal
+
+
+def refuse(
+    code: Code,
+    detail: str,
+    retry_after_ms: int = 0,
+    ran: Ran | None = None,
+) -> RefusedError:
+    """Build the exception that ends a request.
+
+    :param code: the numbered result.
+    :param detail: one sentence for a person.
+    :param retry_after_ms: when to come back, in ms.
+    :param ran: overrides what the code says of the effect.
+    """
+    return RefusedError(Refusal(code, detail, retry_after_ms, ran))
--- /dev/null
+++ b/src/bulrushdale/traffic.py
@@ -0,0 +1,267 @@
+"""What a router sends to its peers and does with what they send."""
+
+import asyncio
+import logging
+import typing
+
+from bulrushdale.catalogue import entries
+from bulrushdale import clock as clock_module
+from bulrushdale.control import control_pb2 as pb
+from bulrushdale.fleet import links as links_module
+from bulrushdale import parts as parts_module
+from bulrushdale.platform import vms
+
+LOG = logging.getLogger(__name__)
+
+UNKNOWN_AGE_MS = 0x7FFFFFFF
+WANTED_INTERVAL_MS = 1_000
+ENTRIES_PER_FRAME = 500
+
+
+class Traffic:
+    """Connects the links to the parts of a router.
+
+    :param clock: the clock.
+
+    :ivar list_read_ms: when this router read the VM list last, in ms.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        self._bound: parts_module.Parts | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._wanted_ms = 0
+        self._list: tuple[int, list[vms.Vm]] = (0, [])
+        self.list_read_ms: int | None = None
+
+    def bind(self, parts: parts_module.Parts) -> None:
+        """Connect the parts."""
+        self._bound = parts
+
+    @property
+    def _parts(self) -> parts_module.Parts:
+        if self._bound is None:
+            raise RuntimeError("bind() was not called")
+        return self._bound
+
+    def heartbeat(self) -> pb.Heartbeat:
+        """Return this router's state for its peers."""
+        parts = self._parts
+        own = parts.members.own
+        own.catalogue_offset = parts.catalogue.offset
+        return pb.Heartbeat(
+            draining=own.draining,
+            catalogue_offset=parts.catalogue.offset,
+            log_age_ms=self._age(parts.tail.read_ms),
+            list_age_ms=self._age(self.list_read_ms),
+        )
+
+    def _age(self, time_ms: int | None) -> int:
+        if time_ms is None:
+            return UNKNOWN_AGE_MS
+        return min(UNKNOWN_AGE_MS, self._clock.now_ms() - time_ms)
+
+    def opened(self, link: links_module.Link) -> None:
+        """Attach at a home whose link is open, and bring it up to date."""
+        LOG.info("link to %s open", link.peer.name)
+        if not self._parts.catalogue.loaded:
+            self._want(link)
+        version, listed = self._list
+        if version:
+            link.queue().vm_list.CopyFrom(_list_message(version, listed))
+        self._parts.seats.opened(link.peer.name)
+
+    def lost(self, link: links_module.Link) -> None:
+        """Keep the peer's slots for a while."""
+        LOG.info("link to %s lost", link.peer.name)
+        self._parts.desks.lost(link.peer.name)
+
+    def received(self, link: links_module.Link, frame: pb.Frame) -> None:
+        """Handle the messages of one frame, in the order that is safe.
+
+        Attachments come before requests, so that a request that went out
+        in the same frame finds its router attached.
+        """
+        parts = self._parts
+        peer = link.peer.name
+        for detach in frame.detaches:
+            parts.desks.detach((detach.pool, detach.shard), peer)
+            link.queue().detach_acks.add(pool=detach.pool, shard=detach.shard)
+        for attach in frame.attaches:
+            key = (attach.pool, attach.shard)
+            parts.desks.attach(key, peer, list(attach.held))
+        for release in frame.releases:
+            key = (release.pool, release.shard)
+            parts.desks.release(key, peer, release.seq)
+        for request in frame.slot_requests:
+            with self._placement(request):
+                parts.desks.ask(request, peer)
+        for ack in frame.detach_acks:
+            parts.seats.released_by(peer, (ack.pool, ack.shard))
+        for reply in frame.slot_replies:
+            parts.seats.answered(peer, reply)
+        for claim in frame.claim_requests:
+            self._spawn(parts.holder.serve(link, claim))
+        for answer in frame.claim_replies:
+            parts.holder.replied(answer)
+        self._receive_state(link, frame)
+
+    def _placement(
+        self, request: pb.SlotRequest
+    ) -> typing.ContextManager[typing.Any]:
+        return self._parts.telemetry.placement_span(request.traceparent)
+
+    def _spawn(
+        self, work: typing.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _receive_state(self, link: links_module.Link, frame: pb.Frame) -> None:
+        if frame.HasField("catalogue"):
+            self._receive_catalogue(link, frame.catalogue)
+        if frame.HasField("vm_list"):
+            self._receive_list(frame.vm_list)
+        if frame.HasField("heartbeat"):
+            behind = frame.heartbeat.catalogue_offset
+            if behind > self._parts.catalogue.offset:
+                self._want(link)
+
+    def _want(self, link: links_module.Link) -> None:
+        """Ask a peer that is ahead for its catalogue, now and then."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._wanted_ms >= WANTED_INTERVAL_MS:
+            self._wanted_ms = now_ms
+            link.queue().catalogue.wanted = True
+
+    def _receive_catalogue(
+        self, link: links_module.Link, update: pb.CatalogueUpdate
+    ) -> None:
+        catalogue = self._parts.catalogue
+        if update.wanted:
+            self._send_all(link)
+        changed = [_entry(message) for message in update.entries]
+        before = catalogue.offset
+        newer = catalogue.merge(changed)
+        continuous = update.base_offset <= catalogue.offset
+        if update.offset and (catalogue.loaded or not update.base_offset):
+            if continuous:
+                catalogue.advance(update.offset)
+            else:
+                self._want(link)
+        if newer or catalogue.offset > before:
+            self._pass_on(link, changed)
+
+    def _send_all(self, link: links_module.Link) -> None:
+        catalogue = self._parts.catalogue
+        if not catalogue.loaded:
+            return
+        update = pb.CatalogueUpdate(offset=catalogue.offset, base_offset=0)
+        update.entries.extend(map(_message, catalogue.everything()))
+        link.queue().catalogue.MergeFrom(update)
+
+    def _pass_on(
+        self, source: links_module.Link, changed: list[entries.Entry]
+    ) -> None:
+        """Carry changes over the border of the data centre."""
+        own_centre = self._parts.members.own.data_centre
+        from_here = source.peer.data_centre == own_centre
+        for link in self._parts.links.all():
+            to_here = link.peer.data_centre == own_centre
+            if link is not source and to_here != from_here:
+                _add_entries(link, changed)
+
+    def folded(self, base: int, changed: list[entries.Entry]) -> None:
+        """Tell all peers what was read from the log."""
+        offset = self._parts.catalogue.offset
+        for link in self._parts.links.all():
+            if link.peer.catalogue_offset >= offset:
+                continue
+            update = link.queue().catalogue
+            if not update.offset:
+                update.base_offset = base
+            update.offset = offset
+            update.entries.extend(map(_message, changed))
+
+    def spread(self, changed: list[entries.Entry]) -> None:
+        """Tell all peers of an edit that was accepted here."""
+        for link in self._parts.links.all():
+            _add_entries(link, changed)
+
+    def read_list(self, version: int, listed: list[vms.Vm]) -> None:
+        """Take over the list that was read, and pass it on if it is new."""
+        self.list_read_ms = self._clock.now_ms()
+        if self._apply_list(version, listed):
+            message = _list_message(version, listed)
+            for link in self._parts.links.all():
+                link.queue().vm_list.CopyFrom(message)
+
+    def _apply_list(self, version: int, listed: list[vms.Vm]) -> bool:
+        parts = self._parts
+        if not parts.members.apply_list(version, listed):
+            return False
+        news = version > self._list[0]
+        self._list = (version, listed)
+        parts.targets.apply_list(listed)
+        return news
+
+    def _receive_list(self, message: pb.VmList) -> None:
+        listed = [
+            vms.Vm(
+                vm.name,
+                vm.router,
+                vm.data_centre,
+                vm.address,
+                vm.operator_address,
+                vm.leaving,
+            )
+            for vm in message.vms
+        ]
+        self._apply_list(message.version, listed)
+
+
+def _list_message(version: int, listed: list[vms.Vm]) -> pb.VmList:
+    message = pb.VmList(version=version)
+    for vm in listed:
+        message.vms.add(
+            name=vm.name,
+            router=vm.router,
+            data_centre=vm.data_centre,
+            address=vm.address,
+            operator_address=vm.operator_address,
+            leaving=vm.leaving,
+        )
+    return message
+
+
+def _add_entries(
+    link: links_module.Link, changed: list[entries.Entry]
+) -> None:
+    if changed:
+        link.queue().catalogue.entries.extend(map(_message, changed))
+
+
+def _message(entry: entries.Entry) -> pb.CatalogueEntry:
+    return pb.CatalogueEntry(
+        kind=entry.kind,
+        name=entry.name,
+        revision=entry.revision,
+        spec=entry.spec or b"",
+        deleted=entry.deleted,
+        changed_ms=entry.changed_ms,
+        operator=entry.operator,
+    )
+
+
+def _entry(message: pb.CatalogueEntry) -> entries.Entry:
+    return entries.Entry(
+        message.kind,
+        message.name,
+        message.revision,
+        None if message.deleted else message.spec,
+        message.changed_ms,
+        message.operator,
+    )
--- /dev/null
+++ b/src/bulrushdale/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers and operators."""
--- /dev/null
+++ b/src/bulrushdale/web/chats.py
@@ -0,0 +1,360 @@
+"""Chat completions: streamed, whole and resumed."""
+
+import asyncio
+from collections import abc
+import dataclasses
+import logging
+import typing
+
+from aiohttp import web
+
+from bulrushdale.admission import seats as seats_module
+from bulrushdale.answers import chat
+from bulrushdale.answers import frames
+from bulrushdale.answers import ids
+from bulrushdale.answers import source as source_module
+from bulrushdale import parts as parts_module
+from bulrushdale import results
+from bulrushdale import telemetry
+from bulrushdale.web import respond
+
+if typing.TYPE_CHECKING:
+    from bulrushdale.web import callers
+
+LOG = logging.getLogger(__name__)
+
+TRIES = 3
+OVERLOAD_DELAY_MS = 50
+COME_BACK_MS = 1_000
+RESUME_WAIT_MS = 2_000
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """An answer that an engine has begun.
+
+    :param answer_id: what callers resume it with.
+    :param source: the engine's stream.
+    :param batches: its frames, a list at a time.
+    :param first: the first frames, already taken.
+    :param grant: the slot that it runs on.
+    """
+
+    answer_id: str
+    source: source_module.Source
+    batches: abc.AsyncIterator[list[bytes]]
+    first: list[bytes]
+    grant: seats_module.Grant
+
+
+async def models(
+    parts: parts_module.Parts, _: web.Request, __: "callers.Caller"
+) -> web.Response:
+    """Serve ``GET /v1/models``."""
+    data = [
+        {
+            "id": model,
+            "object": "model",
+            "created": 0,
+            "owned_by": "bulrushdale",
+        }
+        for model in parts.view.models()
+    ]
+    return respond.json_response({"object": "list", "data": data})
+
+
+async def complete(
+    parts: parts_module.Parts, request: web.Request, caller: "callers.Caller"
+) -> web.StreamResponse:
+    """Serve ``POST /v1/chat/completions``."""
+    if "Last-Event-ID" in request.headers:
+        return await resume(parts, request, caller)
+    limits = parts.settings.limits
+    body = await respond.read_body(
+        request, limits.body_bytes, limits.body_timeout_ms
+    )
+    call = chat.parse(body, caller.team)
+    started_ms = parts.clock.now_ms()
+    need, priority = _need(parts, caller, call)
+    answer = await _open(parts, caller, need, call.for_engine(priority))
+    first_ms = parts.clock.now_ms() - started_ms
+    parts.telemetry.first_token_ms.record(
+        first_ms, {"class": need.service_class}
+    )
+    caller.story.step("first token", f"after {first_ms} ms")
+    if call.stream:
+        return await _stream(parts, request, caller, answer)
+    return await _whole(parts, caller, answer)
+
+
+async def resume(
+    parts: parts_module.Parts, request: web.Request, caller: "callers.Caller"
+) -> web.StreamResponse:
+    """Serve the rest of an answer behind ``Last-Event-ID``."""
+    frame_id = request.headers.get("Last-Event-ID", "")
+    answer_id, last = parts.signer.check(frame_id, caller.team)
+    target = parts.view.target(answer_id.target)
+    if target is None:
+        raise results.refuse(
+            results.Code.ANSWER_GONE, "the engine has left the catalogue"
+        )
+    need = seats_module.Need(
+        answer_id.pool,
+        caller.team,
+        caller.spec.class_of_service,
+        1,
+        RESUME_WAIT_MS,
+        0,
+    )
+    source = source_module.Source(
+        parts.session, target.url, answer_id.request, parts.clock
+    )
+    try:
+        await source.reopen(answer_id.stream, last)
+    except (source_module.GoneError, source_module.CutError) as error:
+        raise results.refuse(
+            results.Code.ANSWER_GONE, f"the answer can't be resumed: {error}"
+        ) from error
+    caller.story.step("resumed", f"{answer_id.target} behind {last}")
+    try:
+        grant = await parts.seats.resume(need, answer_id.target)
+    except BaseException:
+        source.close()
+        raise
+    text = parts.signer.sign(answer_id, caller.team)
+    answer = Answer(text, source, source.read(), [], grant)
+    return await _stream(parts, request, caller, answer)
+
+
+def _need(
+    parts: parts_module.Parts, caller: "callers.Caller", call: chat.ChatCall
+) -> tuple[seats_module.Need, int]:
+    """Return what slot the call needs, and its priority at the engine."""
+    pool = parts.view.pool_of_model(call.model)
+    if pool is None:
+        raise results.refuse(
+            results.Code.UNKNOWN_MODEL, f"no pool serves model {call.model!r}"
+        )
+    name = caller.spec.class_of_service
+    paid = parts.view.service_class(name)
+    if call.service_tier and call.service_tier != name:
+        lower = parts.view.service_class(call.service_tier)
+        if lower.weight <= paid.weight:
+            name, paid = call.service_tier, lower
+    need = seats_module.Need(
+        pool,
+        caller.team,
+        name,
+        paid.weight,
+        paid.queue_ms,
+        call.affinity,
+        call.chat,
+        call.tokens,
+    )
+    return need, paid.engine_priority
+
+
+async def _open(
+    parts: parts_module.Parts,
+    caller: "callers.Caller",
+    need: seats_module.Need,
+    body: bytes,
+) -> Answer:
+    """Start the call on an engine, on another one if that fails."""
+    failed: tuple[str, ...] = ()
+    for attempt in range(TRIES):
+        if attempt:
+            parts.telemetry.retries.add(1)
+        grant = await _acquire(parts, caller, need, failed)
+        try:
+            return await _start(parts, caller, need, grant, body)
+        except source_module.NotStartedError as error:
+            parts.seats.release(grant)
+            caller.story.step("not started", f"{grant.target}: {error}")
+            if error.overloaded:
+                await parts.clock.sleep_ms(OVERLOAD_DELAY_MS)
+            else:
+                failed += (grant.target,)
+            if not parts.activity.retry_budget.spend():
+                break
+        except BaseException:
+            parts.seats.release(grant)
+            raise
+    raise results.refuse(
+        results.Code.NO_TARGET,
+        "no engine began the answer",
+        COME_BACK_MS,
+    )
+
+
+async def _acquire(
+    parts: parts_module.Parts,
+    caller: "callers.Caller",
+    need: seats_module.Need,
+    failed: tuple[str, ...],
+) -> seats_module.Grant:
+    with parts.telemetry.tracer.start_as_current_span("slot"):
+        grant = await parts.seats.acquire(need, failed)
+    caller.story.step(
+        "slot",
+        f"{grant.target} chosen for {grant.reason.name.lower()},"
+        f" bound {grant.bound}, by home {grant.home}"
+        f" after {grant.waited_ms} ms",
+    )
+    return grant
+
+
+async def _start(
+    parts: parts_module.Parts,
+    caller: "callers.Caller",
+    need: seats_module.Need,
+    grant: seats_module.Grant,
+    body: bytes,
+) -> Answer:
+    target = parts.targets.get(grant.target)
+    if target is None or not parts.seats.usable(grant):
+        raise source_module.NotStartedError("the slot is too old", True)
+    source = source_module.Source(
+        parts.session, target.url, caller.request_id, parts.clock
+    )
+    batches = source.read()
+    try:
+        with parts.telemetry.tracer.start_as_current_span("engine"):
+            headers = telemetry.inject() if parts.telemetry.tracing else {}
+            headers["Content-Type"] = respond.JSON
+            await source.start(body, headers)
+            first = await anext(batches)
+    except BaseException:
+        _abandon(source)
+        raise
+    answer_id = ids.AnswerId(
+        need.pool, grant.target, source.stream, caller.request_id
+    )
+    text = parts.signer.sign(answer_id, caller.team)
+    return Answer(text, source, batches, first, grant)
+
+
+_cancelling: set[asyncio.Task[None]] = set()
+
+
+def _abandon(source: source_module.Source) -> None:
+    """Cancel a stream at its engine, in the background."""
+    task = asyncio.create_task(source.cancel())
+    _cancelling.add(task)
+    task.add_done_callback(_cancelling.discard)
+
+
+def _close(
+    parts: parts_module.Parts, caller: "callers.Caller", answer: Answer
+) -> None:
+    """Give back the slot, and the engine's stream if it goes on."""
+    counts = answer.source.counts
+    dropped = counts.crossed + counts.late
+    if dropped:
+        parts.telemetry.dropped_frames.add(dropped)
+        caller.story.step(
+            "dropped frames", f"{counts.crossed} crossed, {counts.late} late"
+        )
+    if answer.source.resumes:
+        caller.story.step("engine resumed", f"{answer.source.resumes} times")
+    if answer.source.done:
+        answer.source.finish()
+    else:
+        _abandon(answer.source)
+    parts.seats.release(answer.grant)
+
+
+async def _stream(
+    parts: parts_module.Parts,
+    request: web.Request,
+    caller: "callers.Caller",
+    answer: Answer,
+) -> web.StreamResponse:
+    """Relay an answer as events; it ends with its end mark or an error."""
+    response = web.StreamResponse(
+        headers={
+            "Content-Type": "text/event-stream",
+            "Cache-Control": "no-cache",
+            "X-Request-Id": caller.request_id,
+            "Bulrushdale-Target": answer.grant.target,
+            "Bulrushdale-Cached-Tokens": str(answer.source.cached_tokens),
+        }
+    )
+    try:
+        await response.prepare(request)
+        number = answer.source.last - len(answer.first) + 1
+        prefix = f"id: {answer.answer_id}.".encode()
+        await _write(response, prefix, number, answer.first)
+        try:
+            async for batch in answer.batches:
+                number = answer.source.last - len(batch) + 1
+                await _write(response, prefix, number, batch)
+        except (source_module.CutError, source_module.NotStartedError) as e:
+            await response.write(_error_event(caller, e))
+        await response.write_eof()
+        caller.story.step("sent", f"up to frame {answer.source.last}")
+    except ConnectionResetError:
+        caller.story.step("caller gone", f"at frame {answer.source.last}")
+    finally:
+        _close(parts, caller, answer)
+    return response
+
+
+async def _write(
+    response: web.StreamResponse,
+    prefix: bytes,
+    number: int,
+    batch: list[bytes],
+) -> None:
+    if not batch:
+        return
+    pieces = [
+        b"%b%d\ndata: %b\n\n" % (prefix, number + i, data)
+        for i, data in enumerate(batch)
+    ]
+    await response.write(b"".join(pieces))
+
+
+def _error_event(caller: "callers.Caller", error: Exception) -> bytes:
+    refusal = results.Refusal(
+        results.Code.ANSWER_CUT, f"the answer is not whole: {error}"
+    )
+    caller.story.step("cut", str(error))
+    body = respond.error_body(refusal, caller.request_id)
+    return b"data: " + respond.orjson.dumps(body) + frames.FRAME_END
+
+
+async def _whole(
+    parts: parts_module.Parts, caller: "callers.Caller", answer: Answer
+) -> web.Response:
+    """Collect an answer and send it as one completion."""
+    whole = chat.Whole()
+    try:
+        for data in answer.first:
+            whole.add(data)
+        async for batch in answer.batches:
+            for data in batch:
+                whole.add(data)
+    except (source_module.CutError, source_module.NotStartedError) as error:
+        raise _not_whole(error) from error
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        raise _not_whole(error) from error
+    finally:
+        _close(parts, caller, answer)
+    return web.Response(
+        body=whole.body(),
+        content_type=respond.JSON,
+        headers={
+            "X-Request-Id": caller.request_id,
+            "Bulrushdale-Target": answer.grant.target,
+            "Bulrushdale-Cached-Tokens": str(answer.source.cached_tokens),
+        },
+    )
+
+
+def _not_whole(error: Exception) -> results.RefusedError:
+    return results.refuse(
+        results.Code.ANSWER_CUT,
+        f"the answer is not whole: {error}",
+        COME_BACK_MS,
+    )
--- /dev/null
+++ b/src/bulrushdale/web/operators.py
@@ -0,0 +1,338 @@
+"""The operators' side: the catalogue, the fleet and explanations."""
+
+from collections import abc
+import hashlib
+import hmac
+import typing
+import uuid
+
+from aiohttp import web
+import orjson
+
+from bulrushdale.catalogue import entries
+from bulrushdale.catalogue import fold
+from bulrushdale.catalogue import publisher
+from bulrushdale import parts as parts_module
+from bulrushdale.platform import log
+from bulrushdale import results
+from bulrushdale.web import respond
+
+PAGE_RECORDS = 1_000
+ENTRY_PATH = "/catalogue/{kind}/{name}"
+
+Handler = typing.Callable[
+    [parts_module.Parts, web.Request], abc.Awaitable[web.Response]
+]
+
+
+def build(parts: parts_module.Parts) -> web.Application:
+    """Return the application for the operators' port."""
+    app = web.Application(client_max_size=parts.settings.limits.body_bytes)
+    guarded: list[tuple[str, str, Handler]] = [
+        ("GET", "/catalogue", _list),
+        ("GET", ENTRY_PATH, _get),
+        ("PUT", ENTRY_PATH, _put),
+        ("DELETE", ENTRY_PATH, _delete),
+        ("GET", f"{ENTRY_PATH}/history", _history),
+        ("GET", "/status", _status),
+        ("GET", "/fleet", _fleet),
+        ("GET", "/explain/{request_id}", _explain),
+    ]
+    for method, path, handler in guarded:
+        app.router.add_route(method, path, _guard(parts, handler))
+    app.router.add_get("/healthz", _live)
+    app.router.add_get("/readyz", _readiness(parts))
+    app.router.add_get("/metrics", _metrics(parts))
+    return app
+
+
+def _guard(
+    parts: parts_module.Parts, handler: Handler
+) -> typing.Callable[[web.Request], abc.Awaitable[web.Response]]:
+    async def handle(request: web.Request) -> web.Response:
+        request_id = uuid.uuid4().hex
+        try:
+            _authenticate(parts, request)
+            return await handler(parts, request)
+        except results.RefusedError as error:
+            return respond.refusal_response(error.refusal, request_id)
+        except entries.InvalidEntryError as error:
+            refusal = results.Refusal(
+                results.Code.ENTRY_INVALID, "; ".join(error.problems)
+            )
+            return respond.refusal_response(refusal, request_id)
+
+    return handle
+
+
+def _authenticate(parts: parts_module.Parts, request: web.Request) -> None:
+    scheme, _, key = request.headers.get("Authorization", "").partition(" ")
+    digest = hashlib.sha256(key.strip().encode()).hexdigest()
+    known = any(
+        hmac.compare_digest(digest, item)
+        for item in parts.settings.operator_key_sha256
+    )
+    if scheme.lower() != "bearer" or not known:
+        raise results.refuse(
+            results.Code.UNAUTHENTICATED, "the operator's key is not known"
+        )
+
+
+async def _live(_: web.Request) -> web.Response:
+    return respond.json_response({"live": True})
+
+
+def _readiness(
+    parts: parts_module.Parts,
+) -> typing.Callable[[web.Request], abc.Awaitable[web.Response]]:
+    async def handle(_: web.Request) -> web.Response:
+        loaded = parts.catalogue.loaded
+        draining = parts.activity.draining
+        ready = loaded and not draining
+        return respond.json_response(
+            {"ready": ready, "loaded": loaded, "draining": draining},
+            200 if ready else 503,
+        )
+
+    return handle
+
+
+def _metrics(
+    parts: parts_module.Parts,
+) -> typing.Callable[[web.Request], abc.Awaitable[web.Response]]:
+    async def handle(_: web.Request) -> web.Response:
+        return web.Response(
+            body=parts.telemetry.scrape(), content_type="text/plain"
+        )
+
+    return handle
+
+
+async def _list(
+    parts: parts_module.Parts, request: web.Request
+) -> web.Response:
+    wanted = request.query.get("kind")
+    kinds = [entries.check_kind(wanted)] if wanted else list(entries.Kind)
+    found = [
+        entry.as_dict()
+        for kind in kinds
+        for entry in parts.catalogue.current(kind)
+    ]
+    return respond.json_response({"entries": found})
+
+
+def _place(request: web.Request) -> tuple[entries.Kind, str]:
+    kind = entries.check_kind(request.match_info["kind"])
+    return kind, entries.check_name(request.match_info["name"])
+
+
+def _entry_response(entry: entries.Entry) -> web.Response:
+    return respond.json_response(
+        entry.as_dict(), headers={"ETag": f'"{entry.revision}"'}
+    )
+
+
+async def _get(
+    parts: parts_module.Parts, request: web.Request
+) -> web.Response:
+    kind, name = _place(request)
+    entry = parts.catalogue.find(kind, name)
+    if entry is None or entry.deleted:
+        raise _missing(kind, name)
+    return _entry_response(entry)
+
+
+def _missing(kind: entries.Kind, name: str) -> results.RefusedError:
+    return results.refuse(
+        results.Code.ENTRY_NOT_FOUND, f"there is no {kind.value}/{name}"
+    )
+
+
+def _expected(request: web.Request) -> int:
+    """Return the revision that an edit says it replaces."""
+    if request.headers.get("If-None-Match") == "*":
+        return 0
+    tag = request.headers.get("If-Match", "").strip().strip('"')
+    if not tag.isdigit():
+        raise results.refuse(
+            results.Code.PRECONDITION_REQUIRED,
+            "send If-Match with the revision, or If-None-Match: *",
+        )
+    return int(tag)
+
+
+async def _put(
+    parts: parts_module.Parts, request: web.Request
+) -> web.Response:
+    kind, name = _place(request)
+    limits = parts.settings.limits
+    body = await respond.read_body(
+        request, limits.body_bytes, limits.body_timeout_ms
+    )
+    try:
+        data = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise entries.InvalidEntryError([f"not JSON: {error}"]) from None
+    spec = entries.parse(kind, data)
+    _check_life(parts, spec)
+    return await _publish(parts, request, kind, name, spec)
+
+
+def _check_life(parts: parts_module.Parts, spec: entries.Spec) -> None:
+    retention_ms = parts.settings.platform.retention_ms
+    if (
+        isinstance(spec, entries.Promise)
+        and spec.key_life_ms > retention_ms // 2
+    ):
+        raise entries.InvalidEntryError(
+            [
+                f"key_life_ms: {spec.key_life_ms} exceeds half of the"
+                f" log's retention of {retention_ms} ms"
+            ]
+        )
+
+
+async def _delete(
+    parts: parts_module.Parts, request: web.Request
+) -> web.Response:
+    kind, name = _place(request)
+    if not parts.catalogue.revision(kind, name):
+        raise _missing(kind, name)
+    return await _publish(parts, request, kind, name, None)
+
+
+async def _publish(
+    parts: parts_module.Parts,
+    request: web.Request,
+    kind: entries.Kind,
+    name: str,
+    spec: entries.Spec | None,
+) -> web.Response:
+    if not parts.catalogue.loaded:
+        raise results.refuse(
+            results.Code.NOT_READY, "the catalogue is not loaded yet", 2_000
+        )
+    operator = request.headers.get("X-Operator", "unnamed")[:100]
+    edit = publisher.Edit(kind, name, spec, _expected(request), operator)
+    entry = await parts.publisher.publish(edit)
+    parts.spread([entry])
+    return _entry_response(entry)
+
+
+async def _history(
+    parts: parts_module.Parts, request: web.Request
+) -> web.Response:
+    kind, name = _place(request)
+    changes: list[dict[str, typing.Any]] = []
+    revision = 0
+    offset = 0
+    while True:
+        try:
+            page = await parts.log.read(fold.STREAM, offset, PAGE_RECORDS)
+        except log.LogUnavailableError as error:
+            raise results.refuse(
+                results.Code.LOG_UNAVAILABLE, str(error), 2_000
+            ) from error
+        if not page.records:
+            break
+        for record in page.records:
+            offset = record.offset + 1
+            data = record.data
+            if data.get("type") != "edit":
+                continue
+            if (data["kind"], data["name"]) != (kind.value, name):
+                continue
+            won = data["expected"] == revision or not changes
+            if won:
+                revision = 0 if data["spec"] is None else offset
+            changes.append(
+                {
+                    "revision": offset,
+                    "accepted": won,
+                    "expected": data["expected"],
+                    "operator": data["operator"],
+                    "time_ms": record.time_ms,
+                    "spec": data["spec"],
+                }
+            )
+    return respond.json_response({"changes": changes})
+
+
+async def _status(parts: parts_module.Parts, _: web.Request) -> web.Response:
+    own = parts.members.own
+    return respond.json_response(
+        {
+            "router": own.name,
+            "data_centre": own.data_centre,
+            "loaded": parts.catalogue.loaded,
+            "offset": parts.catalogue.offset,
+            "log_failing_since_ms": parts.log.failing_since_ms,
+            "routers": [
+                {
+                    "router": member.name,
+                    "data_centre": member.data_centre,
+                    "operator_address": member.operator_address,
+                    "linked": member.linked,
+                    "offset": member.catalogue_offset
+                    if member is not own
+                    else parts.catalogue.offset,
+                }
+                for member in parts.members.everyone()
+            ],
+        }
+    )
+
+
+async def _fleet(parts: parts_module.Parts, _: web.Request) -> web.Response:
+    own = parts.members.own
+    pools = parts.view.pool_names()
+    return respond.json_response(
+        {
+            "router": own.name,
+            "draining": parts.activity.draining,
+            "requests": parts.activity.requests,
+            "duties": {
+                "reads_log": parts.members.reads_log(),
+                "writes_snapshots": parts.members.writes_snapshots(),
+                "gateway": own.name in parts.members.gateways(own.data_centre),
+                "claims": parts.holder.summary(),
+            },
+            "links": [
+                {
+                    "peer": link.peer.name,
+                    "data_centre": link.peer.data_centre,
+                    "draining": link.peer.draining,
+                    "bytes": link.bytes_in + link.bytes_out,
+                }
+                for link in parts.links.all()
+            ],
+            "control_bytes": parts.links.total_bytes(),
+            "seats": parts.seats.summary(),
+            "desks": parts.desks.summary(),
+            "targets": [
+                {
+                    "target": target.name,
+                    "pool": target.pool,
+                    "slots": target.slots,
+                    "failed": target.failed,
+                    "leaving": target not in parts.targets.stable(pool)
+                    or target.says_leaving,
+                }
+                for pool in pools
+                for target in parts.targets.of_pool(pool)
+            ],
+        }
+    )
+
+
+async def _explain(
+    parts: parts_module.Parts, request: web.Request
+) -> web.Response:
+    request_id = request.match_info["request_id"]
+    story = parts.stories.find(request_id)
+    if story is None:
+        raise results.refuse(
+            results.Code.ENTRY_NOT_FOUND,
+            f"this router does not remember request {request_id!r}",
+        )
+    return respond.json_response(story.as_dict())
