Let one home at a time grant slots, by majority of the routers

Cause: the first rule gave each home a share of the bound in proportion to the routers attached to it. A test that cuts one of three routers off showed 3 answers in flight where 24 fit (least bound 2, c 1.25): a part of the bound can't grow beyond its own mean. Adding up parts with rounding rights was ruled out on paper: with the least bound it passes the bound by one.

Now a home grants only while more than half of the data centre's routers are attached to it, and counts what the engines report beside its ledger until that is complete. The same test: 24 in flight on the majority's side, none on the other, no start above the bound.

--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -342,7 +342,7 @@
             all(seat["home"] in alive for seat in fleet["seats"])
             and len(fleet["seats"]) >= 2
         )
-        shares = all(desk["share"] == 1.0 for desk in fleet["desks"])
+        shares = all(desk["grants"] for desk in fleet["desks"])
         return len(local) >= len(alive) - 1 and attached and shares
 
     async def operator(
--- a/src/bulrushdale/admission/bound.py
+++ b/src/bulrushdale/admission/bound.py
@@ -1,18 +1,20 @@
-"""The bound on the load of one target.
-
-Several routers may grant slots on the same target for a while, when views
-differ or a link is cut. Each then grants for the routers that are attached
-to it only, and takes a part of the bound in proportion, computed from its
-own grants. As every router is attached to one home at a time, and each
-home knows of no more load than there is, the parts add up to no more than
-the whole bound.
+"""The bound on the load of one target, and who may enforce it.
+
+Only one router at a time grants slots of a shard: a home to which more
+than half of the data centre's routers are attached. A router is attached
+to one home at a time, and its old home stops counting on it before it goes
+to the next, so two homes never both have the majority. A home without it
+grants nothing; it starts again as soon as it has heard from enough routers
+or the platform has taken the missing ones off its list.
 """
 
+from collections import abc
+import dataclasses
 import math
 
 
 def whole(total: int, targets: int, multiple: float, least: int) -> int:
-    """Return the bound that a router enforces that grants alone.
+    """Return the bound on the load of each target.
 
     :param total: load on all targets, the new request included.
     :param targets: how many targets share it.
@@ -22,17 +24,30 @@
     return max(least, math.ceil(multiple * total / targets))
 
 
-def part(
-    total: int, targets: int, multiple: float, least: int, share: float
-) -> int:
-    """Return the bound on the own grants of a router among several.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Standing:
+    """What a home may rely on.
 
-    :param total: the load that this router granted, the new one included.
-    :param targets: how many targets share it.
-    :param multiple: the set multiple of the mean.
-    :param least: the whole bound is never lower.
-    :param share: attached routers divided by all, at most one.
+    :param majority: whether it may grant at all.
+    :param complete: whether its ledger holds everything that runs; else
+        the targets' own reports have to be counted as well.
+    :param since_ms: when it became the home, in ms; an older report may
+        miss what its predecessor granted.
+    """
+
+    majority: bool
+    complete: bool
+    since_ms: int
+
+
+def has_majority(attached: abc.Set[str], everyone: abc.Set[str]) -> bool:
+    """Return whether more than half of some routers are attached.
+
+    Of two halves, the one with the first name counts.
+
+    :param attached: the routers attached here.
+    :param everyone: all that may be granting, the attached ones included.
     """
-    if share >= 1.0:
-        return whole(total, targets, multiple, least)
-    return math.floor(share * max(least, multiple * total / targets))
+    if 2 * len(attached) != len(everyone):
+        return 2 * len(attached) > len(everyone)
+    return min(everyone) in attached
--- a/src/bulrushdale/admission/desk.py
+++ b/src/bulrushdale/admission/desk.py
@@ -21,6 +21,8 @@
 MOST_RETRY_MS = 60_000
 # Slots kept free for teams that are below their share.
 RESERVE_SHARE = 0.1
+# A report may be as old as this when it arrives.
+REPORT_LAG_MS = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,8 +75,7 @@
     :param team_limits: returns a team's limits on this shard: in flight
         and queued.
     :param ramp: returns the part of its bound that a target may have.
-    :param share: returns the part of this data centre's routers that is
-        attached, at most one.
+    :param standing: returns what this home may rely on.
     :param answer: called with each reply.
     :param clock: the clock.
     :param rng: spreads the times to come back.
@@ -88,7 +89,7 @@
         "_promise",
         "_team_limits",
         "_ramp",
-        "_share",
+        "_standing",
         "_answer",
         "_clock",
         "_rng",
@@ -96,7 +97,8 @@
         "_slots",
         "_load",
         "_foreign",
-        "_peak",
+        "_unknown",
+        "_range",
         "_tokens",
         "_teams",
         "_queue",
@@ -112,7 +114,7 @@
         promise: typing.Callable[[], entries.Promise],
         team_limits: typing.Callable[[str], tuple[int, int]],
         ramp: typing.Callable[[targets_module.Target], float],
-        share: typing.Callable[[], float],
+        standing: typing.Callable[[], bound.Standing],
         answer: Answer,
         clock: clock_module.Clock,
         rng: random.Random,
@@ -122,7 +124,7 @@
         self._promise = promise
         self._team_limits = team_limits
         self._ramp = ramp
-        self._share = share
+        self._standing = standing
         self._answer = answer
         self._clock = clock
         self._rng = rng
@@ -130,7 +132,8 @@
         self._slots: dict[tuple[str, int], Slot] = {}
         self._load: collections.Counter[str] = collections.Counter()
         self._foreign: dict[str, int] = {}
-        self._peak: dict[str, tuple[int, int]] = {}
+        self._unknown: dict[str, int] = {}
+        self._range: dict[str, _Range] = {}
         self._tokens: collections.Counter[str] = collections.Counter()
         self._teams: collections.Counter[str] = collections.Counter()
         self._queue = queue.WeightedQueue()
@@ -212,23 +215,16 @@
         self._answer(ask, Reply(code, retry_after_ms=int(retry_ms)))
 
     def _bound(
-        self,
-        target: targets_module.Target,
-        total: int,
-        count: int,
-        share: float,
+        self, target: targets_module.Target, total: int, count: int
     ) -> int:
         promise = self._promise()
-        limit = bound.part(
-            total, count, promise.load_multiple, promise.least_bound, share
+        limit = bound.whole(
+            total, count, promise.load_multiple, promise.least_bound
         )
         ramp = self._ramp(target)
         if ramp < 1.0:
             limit = max(1, math.floor(limit * ramp))
-        slots = target.slots
-        if share < 1.0:
-            slots = math.floor(share * slots)
-        return min(limit, slots)
+        return min(limit, target.slots)
 
     def _place(
         self, ask: queue.Ask, targets: list[targets_module.Target]
@@ -236,17 +232,25 @@
         """Return the target, the reason and the bound, or none."""
         if not self._team_may_start(ask.team, targets):
             return None
-        share = self._share()
-        count = len(targets)
+        standing = self._standing()
+        if not standing.majority:
+            return None
+        loads = {
+            target.name: self._load_with(target.name, standing)
+            for target in targets
+        }
+        # The mean counts only what is certain, a target's load whatever
+        # may be there: neither error lets the bound be passed.
         total = sum(self.load(target.name) for target in targets) + 1
         bounds = {
-            target.name: self._bound(target, total, count, share)
+            target.name: self._bound(target, total, len(targets))
             for target in targets
+            if standing.complete or self._reported(target, standing)
         }
         free = [
             name
             for name, limit in bounds.items()
-            if self.load(name) < limit and name not in ask.excluded
+            if loads[name] < limit and name not in ask.excluded
         ]
         if not free:
             return None
@@ -256,6 +260,20 @@
         )
         return name, reason, bounds[name]
 
+    def _load_with(self, name: str, standing: bound.Standing) -> int:
+        """Return a target's load, with what others may have granted."""
+        if standing.complete:
+            return self.load(name)
+        return self._load[name] + self._unknown.get(name, 0)
+
+    def _reported(
+        self, target: targets_module.Target, standing: bound.Standing
+    ) -> bool:
+        """Whether a target's report tells what its last home granted."""
+        if target.probed_ms is None:
+            return False
+        return target.probed_ms >= standing.since_ms + REPORT_LAG_MS
+
     def _team_may_start(
         self, team: str, targets: list[targets_module.Target]
     ) -> bool:
@@ -297,15 +315,14 @@
         self._load[slot.target] += 1
         self._tokens[slot.target] += slot.tokens
         self._teams[slot.team] += 1
-        older, newer = self._peak.get(slot.target, (0, 0))
-        newer = max(newer, self._load[slot.target])
-        self._peak[slot.target] = (older, newer)
+        self._ranged(slot.target)
 
     def _drop(self, key: tuple[str, int]) -> Slot | None:
         slot = self._slots.pop(key, None)
         if slot is None:
             return None
         _decrease(self._load, slot.target, 1)
+        self._ranged(slot.target)
         _decrease(self._tokens, slot.target, slot.tokens)
         _decrease(self._teams, slot.team, 1)
         return slot
@@ -372,22 +389,29 @@
         self._queue.remove(lambda ask: ask.router == router)
         self._orphans[router] = self._clock.now_ms() + hold_ms
 
+    def _ranged(self, target: str) -> None:
+        """Keep the least and the most granted on a target lately."""
+        load = self._load[target]
+        held = self._range.get(target)
+        if held is None:
+            held = self._range[target] = _Range(load)
+        held.note(load)
+
     def note_report(self, target: str, running: int) -> None:
-        """Count load that other homes granted.
+        """Compare what a target reports with what was granted here.
 
-        A probe lags, so what it reports is compared with the most that
-        was granted here since the last probe but one.
+        A report lags, so it is compared with the most and the least that
+        was granted since the last report but one: the first tells what
+        certainly runs beside, the second what may run beside.
 
         :param target: the target that was probed.
         :param running: what it says is running.
         """
-        older, newer = self._peak.get(target, (0, 0))
-        foreign = running - max(older, newer, self._load[target])
-        self._peak[target] = (newer, self._load[target])
-        if foreign > 0:
-            self._foreign[target] = foreign
-        else:
-            self._foreign.pop(target, None)
+        self._ranged(target)
+        held = self._range[target]
+        self._foreign[target] = max(0, running - held.most())
+        self._unknown[target] = max(0, running - held.least())
+        held.turn(self._load[target])
 
     def tick(self) -> None:
         """Refuse what has waited too long and start what may start."""
@@ -430,6 +454,31 @@
         return collections.Counter(router for router, _ in self._slots)
 
 
+class _Range:
+    """The least and the most of a value in two spans of time."""
+
+    __slots__ = ("_older", "_newer")
+
+    def __init__(self, value: int) -> None:
+        self._older = (0, value)
+        self._newer = (value, value)
+
+    def note(self, value: int) -> None:
+        least, most = self._newer
+        self._newer = (min(least, value), max(most, value))
+
+    def turn(self, value: int) -> None:
+        """Begin a new span at a value."""
+        self._older = self._newer
+        self._newer = (value, value)
+
+    def least(self) -> int:
+        return min(self._older[0], self._newer[0])
+
+    def most(self) -> int:
+        return max(self._older[1], self._newer[1])
+
+
 def _decrease(
     counter: "collections.Counter[str]", key: str, amount: int
 ) -> None:
--- a/src/bulrushdale/admission/desks.py
+++ b/src/bulrushdale/admission/desks.py
@@ -4,6 +4,7 @@
 import random
 import typing
 
+from bulrushdale.admission import bound
 from bulrushdale.admission import desk as desk_module
 from bulrushdale.admission import queue
 from bulrushdale.catalogue import view as view_module
@@ -16,6 +17,8 @@
 # How long an engine lets an answer run on whose reader is gone.
 DEAD_HOLD_MS = 5_000
 CUT_HOLD_MS = 20_000
+# For so long a lost router may have left answers that nobody holds.
+ORPHAN_MEMORY_MS = 20_000
 
 ShardKey = tuple[str, int]
 AnswerOwn = typing.Callable[[ShardKey, queue.Ask, desk_module.Reply], None]
@@ -60,6 +63,7 @@
         self._rng = rng
         self._desks: dict[ShardKey, desk_module.Desk] = {}
         self._attached: dict[ShardKey, set[str]] = collections.defaultdict(set)
+        self._since_ms: dict[ShardKey, int] = {}
 
     def desk(self, key: ShardKey) -> desk_module.Desk:
         """Return the desk of a shard, opening it if need be."""
@@ -76,7 +80,7 @@
             promise=self._view.promise,
             team_limits=lambda team: self._team_limits(team, pool),
             ramp=self._targets.ramp,
-            share=lambda: self.share(key),
+            standing=lambda: self.standing(key),
             answer=lambda ask, reply: self._answer(key, ask, reply),
             clock=self._clock,
             rng=self._rng,
@@ -90,11 +94,20 @@
         in_flight = max(1, team.max_in_flight // shards)
         return in_flight, max(1, team.max_queued // shards)
 
-    def share(self, key: ShardKey) -> float:
-        """Return the part of the routers here that is attached."""
+    def standing(self, key: ShardKey) -> bound.Standing:
+        """Return what this router may rely on as the home of a shard."""
         attached = {r for r in self._attached[key] if self._lease_holds(r)}
         everyone = attached.union(self._members.share_names())
-        return len(attached) / len(everyone)
+        settled = not self._members.lost_since(ORPHAN_MEMORY_MS)
+        return bound.Standing(
+            bound.has_majority(attached, everyone),
+            settled and attached == everyone,
+            self._since_ms.get(key, 0),
+        )
+
+    def grants(self, key: ShardKey) -> bool:
+        """Return whether this router may grant slots of a shard."""
+        return self.standing(key).majority
 
     def _lease_holds(self, router: str) -> bool:
         if router == self._own:
@@ -129,6 +142,8 @@
         self, key: ShardKey, router: str, held: list[pb.HeldSlot]
     ) -> None:
         """Take a router on, with the slots that it holds."""
+        if not self._attached[key]:
+            self._since_ms[key] = self._clock.now_ms()
         self._attached[key].add(router)
         slots = [(h.seq, h.target, h.team, h.tokens) for h in held]
         self.desk(key).attach(router, slots)
@@ -218,7 +233,8 @@
                 "pool": key[0],
                 "shard": key[1],
                 "attached": sorted(self._attached[key]),
-                "share": round(self.share(key), 3),
+                "grants": self.grants(key),
+                "complete": self.standing(key).complete,
                 "in_flight": self._desks[key].in_flight,
                 "queued": self._desks[key].queued,
                 "loads": self._desks[key].loads(),
--- a/src/bulrushdale/admission/seats.py
+++ b/src/bulrushdale/admission/seats.py
@@ -451,6 +451,13 @@
             for seat in self._seats.values()
         ]
 
+    def served(self) -> bool:
+        """Return whether every home may grant, as far as is known here."""
+        for seat in self._seats.values():
+            if seat.home == self._own and not self._own_desks.grants(seat.key):
+                return False
+        return True
+
     def held_count(self) -> int:
         """Return how many slots this router holds."""
         return sum(len(seat.held) for seat in self._seats.values())
--- a/src/bulrushdale/fleet/members.py
+++ b/src/bulrushdale/fleet/members.py
@@ -68,7 +68,15 @@
     .. versionadded:: 0.1
     """
 
-    __slots__ = ("own", "_clock", "_forget_ms", "_members", "list_version")
+    __slots__ = (
+        "own",
+        "_clock",
+        "_forget_ms",
+        "_members",
+        "_lost_ms",
+        "list_version",
+        "list_seen_ms",
+    )
 
     def __init__(
         self, own: Member, clock: clock_module.Clock, forget_ms: int
@@ -77,7 +85,24 @@
         self._clock = clock
         self._forget_ms = forget_ms
         self._members = {own.name: own}
+        self._lost_ms: int | None = None
         self.list_version = 0
+        self.list_seen_ms: int | None = None
+
+    def note_lost(self, member: Member) -> None:
+        """Note that the link to a router broke."""
+        if member.data_centre == self.own.data_centre:
+            if not member.draining:
+                self._lost_ms = self._clock.now_ms()
+
+    def lost_since(self, span_ms: int) -> bool:
+        """Return whether a router here was lost within a time.
+
+        :param span_ms: the time, in ms.
+        """
+        if self._lost_ms is None:
+            return False
+        return self._clock.now_ms() - self._lost_ms < span_ms
 
     def get(self, name: str) -> Member | None:
         return self._members.get(name)
@@ -145,7 +170,8 @@
         """Return routers that may be granting slots in this data centre.
 
         A router that can't be reached counts for as long as the platform
-        lists it: it may be serving on the far side of a cut.
+        lists it: it may be serving on the far side of a cut. While the
+        list itself can't be read, silence decides.
         """
         return [
             member.name
@@ -159,7 +185,14 @@
             return True
         if member.refused:
             return False
-        return member.listed or self._heard_lately(member)
+        if member.listed and self._list_is_fresh():
+            return True
+        return self._heard_lately(member)
+
+    def _list_is_fresh(self) -> bool:
+        if self.list_seen_ms is None:
+            return False
+        return self._clock.now_ms() - self.list_seen_ms < self._forget_ms
 
     def eligible(self) -> list[str]:
         """Return routers here that may take over duties, by name."""
--- a/src/bulrushdale/traffic.py
+++ b/src/bulrushdale/traffic.py
@@ -76,6 +76,7 @@
     def lost(self, link: links_module.Link) -> None:
         """Keep the peer's slots for a while."""
         LOG.info("link to %s lost", link.peer.name)
+        self._parts.members.note_lost(link.peer)
         self._parts.desks.lost(link.peer.name)
 
     def received(self, link: links_module.Link, frame: pb.Frame) -> None:
@@ -126,10 +127,20 @@
         if frame.HasField("vm_list"):
             self._receive_list(frame.vm_list)
         if frame.HasField("heartbeat"):
+            self._note_list_age(frame.heartbeat.list_age_ms)
             behind = frame.heartbeat.catalogue_offset
             if behind > self._parts.catalogue.offset:
                 self._want(link)
 
+    def _note_list_age(self, age_ms: int) -> None:
+        """Count a peer's reading of the list as news of it."""
+        if age_ms >= UNKNOWN_AGE_MS:
+            return
+        members = self._parts.members
+        read_ms = self._clock.now_ms() - age_ms
+        if members.list_seen_ms is None or members.list_seen_ms < read_ms:
+            members.list_seen_ms = read_ms
+
     def _want(self, link: links_module.Link) -> None:
         """Ask a peer that is ahead for its catalogue, now and then."""
         now_ms = self._clock.now_ms()
@@ -194,6 +205,7 @@
     def read_list(self, version: int, listed: list[vms.Vm]) -> None:
         """Take over the list that was read, and pass it on if it is new."""
         self.list_read_ms = self._clock.now_ms()
+        self._parts.members.list_seen_ms = self.list_read_ms
         if self._apply_list(version, listed):
             message = _list_message(version, listed)
             for link in self._parts.links.all():
--- a/src/bulrushdale/web/operators.py
+++ b/src/bulrushdale/web/operators.py
@@ -88,9 +88,15 @@
     async def handle(_: web.Request) -> web.Response:
         loaded = parts.catalogue.loaded
         draining = parts.activity.draining
-        ready = loaded and not draining
+        homes = parts.seats.served()
+        ready = loaded and not draining and homes
         return respond.json_response(
-            {"ready": ready, "loaded": loaded, "draining": draining},
+            {
+                "ready": ready,
+                "loaded": loaded,
+                "draining": draining,
+                "homes": homes,
+            },
             200 if ready else 503,
         )
 
--- /dev/null
+++ b/tests/slot_network.py
@@ -0,0 +1,387 @@
+"""Routers in one process with links that the test cuts and freezes.
+
+The routers' own seats, desks and traffic run; only the stream below them
+is replaced: frames move when the test says so.
+"""
+
+import asyncio
+import collections
+import contextlib
+import math
+import random
+import types
+
+from bulrushdale.admission import desks as desks_module
+from bulrushdale.admission import queue
+from bulrushdale.admission import seats as seats_module
+from bulrushdale.catalogue import entries
+from bulrushdale.catalogue import fold
+from bulrushdale.catalogue import view as view_module
+from bulrushdale import clock as clock_module
+from bulrushdale.control import control_pb2 as pb
+from bulrushdale.fleet import links as links_module
+from bulrushdale.fleet import members as members_module
+from bulrushdale.fleet import targets as targets_module
+from bulrushdale.platform import vms
+from bulrushdale import traffic
+
+CENTRE = "mid-a"
+POOL = "chat"
+LEASE_MS = 2_500
+SWITCH_MS = 3_500
+LAG_MS = 500
+
+
+def entry(kind: str, name: str, spec: dict, revision: int) -> entries.Entry:
+    stored = entries.encode(entries.parse(kind, spec))
+    return entries.Entry(kind, name, revision, stored, 0, "tester")
+
+
+def catalogue(promise: dict, engines: int, slots: int) -> fold.Catalogue:
+    found = fold.Catalogue()
+    specs = [
+        ("promise", "fleet", promise),
+        ("class", "gold", {"weight": 1, "queue_ms": 10_000}),
+        ("pool", POOL, {"model": "loaf-1"}),
+    ]
+    for name in ("bakery", "agencia"):
+        team = {"owner": name, "class_of_service": "gold", "key_sha256": []}
+        specs.append(("team", name, team))
+    for number in range(engines):
+        target = {
+            "pool": POOL,
+            "data_centre": CENTRE,
+            "url": "http://127.0.0.1:1",
+            "slots": slots,
+        }
+        specs.append(("target", f"engine-{number}", target))
+    found.merge(
+        entry(kind, name, spec, number + 1)
+        for number, (kind, name, spec) in enumerate(specs)
+    )
+    found.advance(len(specs))
+    return found
+
+
+class Links:
+    """The links of one router in the test's network."""
+
+    def __init__(self) -> None:
+        self.open: dict[str, links_module.Link] = {}
+
+    def get(self, name: str) -> links_module.Link | None:
+        return self.open.get(name)
+
+    def all(self) -> list[links_module.Link]:
+        return list(self.open.values())
+
+
+class Node:
+    """One router."""
+
+    def __init__(
+        self,
+        name: str,
+        names: list[str],
+        clock: clock_module.ManualClock,
+        held: fold.Catalogue,
+        seed: int,
+    ) -> None:
+        self.name = name
+        self.frozen = False
+        self.inbox: dict[str, list[pb.Frame | None]] = {
+            other: [] for other in names
+        }
+        own = members_module.Member(name, CENTRE)
+        self.members = members_module.Members(own, clock, 15_000)
+        self.members.apply_list(
+            1,
+            [vms.Vm(n, True, CENTRE, f"{n}:1", "", False) for n in names],
+        )
+        self.links = Links()
+        view = view_module.View(held)
+        self.targets = targets_module.Targets(view, CENTRE, clock)
+        parts = (name, view, self.targets, self.members, self.links, clock)
+        self.seats = seats_module.Seats(*parts, LEASE_MS)
+        self.desks = desks_module.Desks(
+            *parts, LEASE_MS, self.seats.answered_own, random.Random(seed)
+        )
+        self.seats.bind(self.desks)
+        self.traffic = traffic.Traffic(clock)
+        self.traffic.bind(
+            types.SimpleNamespace(
+                desks=self.desks,
+                seats=self.seats,
+                catalogue=held,
+                members=self.members,
+                telemetry=types.SimpleNamespace(
+                    placement_span=lambda _: contextlib.nullcontext()
+                ),
+                tail=types.SimpleNamespace(read_ms=None),
+                holder=None,
+                links=self.links,
+            )
+        )
+        self.members.list_seen_ms = clock.now_ms()
+        self.grants: list[seats_module.Grant] = []
+        self.asking: list[asyncio.Task] = []
+
+
+class Network:
+    """Routers, their links, and the judge of every grant.
+
+    :param count: how many routers.
+    :param promise: the spec of ``promise/fleet``.
+    :param engines: how many engines.
+    :param slots: the slots of each engine.
+    """
+
+    def __init__(
+        self, count: int, promise: dict, engines: int = 3, slots: int = 20
+    ) -> None:
+        self.clock = clock_module.ManualClock()
+        self.loop = asyncio.new_event_loop()
+        self.promise = entries.Promise(**promise)
+        self.engines = engines
+        names = [f"router-{number}" for number in range(count)]
+        held = catalogue(promise, engines, slots)
+        self.nodes = {
+            name: Node(name, names, self.clock, held, number)
+            for number, name in enumerate(names)
+        }
+        self.cuts: set[frozenset[str]] = set()
+        self.running: list[tuple[int, collections.Counter]] = []
+        self.broken: list[str] = []
+        self.granted = 0
+        for node in self.nodes.values():
+            self._judge_grants(node)
+
+    def _judge_grants(self, node: Node) -> None:
+        answer = node.desks._answer
+
+        def judged(key, ask: queue.Ask, reply) -> None:
+            if reply.code == 0:
+                self.granted += 1
+                self._check(node, reply.target)
+            answer(key, ask, reply)
+
+        node.desks._answer = judged
+
+    def slots_held(self) -> dict[tuple[str, int], str]:
+        """Return every slot in force: those that routers hold, and those
+        that homes have granted to routers attached to them."""
+        found = {}
+        for node in self.nodes.values():
+            desk = node.desks.desk((POOL, 0))
+            for (router, seq), slot in desk._slots.items():
+                seat = self.nodes[router].seats._seats.get((POOL, 0))
+                if seat and (seq in seat.held or seq in seat.waiting):
+                    found[(router, seq)] = slot.target
+            for seat in node.seats._seats.values():
+                for seq, held in seat.held.items():
+                    found[(node.name, seq)] = held.target
+        return found
+
+    def _check(self, node: Node, target: str) -> None:
+        held = list(self.slots_held().values())
+        mean = len(held) / self.engines
+        limit = max(
+            self.promise.least_bound,
+            math.ceil(self.promise.load_multiple * mean),
+        )
+        if held.count(target) > limit:
+            self.broken.append(
+                f"{node.name} granted {target} at {held.count(target)},"
+                f" the bound is {limit}"
+            )
+
+    def spin(self) -> None:
+        """Let tasks that are ready run."""
+        for _ in range(4):
+            self.loop.run_until_complete(asyncio.sleep(0))
+
+    def connect(self, one: str, two: str) -> None:
+        """Open a link between two routers that can reach each other."""
+        if frozenset((one, two)) in self.cuts:
+            return
+        nodes = (self.nodes[one], self.nodes[two])
+        if nodes[0].frozen or nodes[1].frozen:
+            return
+        if two in nodes[0].links.open and one in nodes[1].links.open:
+            return
+        for node, other in (nodes, nodes[::-1]):
+            if other.name in node.links.open:
+                self.close(node, other.name)
+        for node, other in (nodes, nodes[::-1]):
+            node.inbox[other.name].clear()
+            member = node.members.get(other.name)
+            member.linked = True
+            member.heard_ms = self.clock.now_ms()
+            link = links_module.Link(member, self.clock.now_ms())
+            node.links.open[other.name] = link
+        for node, other in (nodes, nodes[::-1]):
+            self.beat_one(node, other.name)
+            node.traffic.opened(node.links.open[other.name])
+
+    def close(self, node: Node, other: str) -> None:
+        """Close one end; the other end learns of it unless it is cut."""
+        link = node.links.open.pop(other, None)
+        if link is None:
+            return
+        link.peer.linked = False
+        node.traffic.lost(link)
+        if frozenset((node.name, other)) not in self.cuts:
+            self.nodes[other].inbox[node.name].append(None)
+
+    def beat_one(self, node: Node, other: str) -> None:
+        """Queue one heartbeat."""
+        link = node.links.open[other]
+        beat = link.queue().heartbeat
+        beat.draining = node.members.own.draining
+        beat.sent_ms = self.clock.now_ms() & links_module.CLOCK_MASK
+        beat.echo_ms = link.peer_clock_ms
+
+    def beat(self, name: str) -> None:
+        """Send heartbeats and close silent links, as the daemon does."""
+        node = self.nodes[name]
+        if node.frozen:
+            return
+        for other, link in list(node.links.open.items()):
+            if self.clock.now_ms() - link.heard_ms > SWITCH_MS:
+                self.close(node, other)
+            else:
+                self.beat_one(node, other)
+
+    def maintain(self, name: str) -> None:
+        """Run the regular work of one router."""
+        node = self.nodes[name]
+        if not node.frozen:
+            node.seats.maintain()
+            node.desks.tick()
+            self.spin()
+
+    def flush(self, one: str, two: str) -> None:
+        """Carry one router's queued frame to another's inbox."""
+        link = self.nodes[one].links.open.get(two)
+        if link is None or self.nodes[one].frozen:
+            return
+        if not link._pending.ByteSize():
+            return
+        frame = link._pending
+        link._pending = pb.Frame()
+        if frozenset((one, two)) not in self.cuts:
+            self.nodes[two].inbox[one].append(frame)
+
+    def process(self, name: str, source: str) -> None:
+        """Let a router handle what has arrived from another one."""
+        node = self.nodes[name]
+        if node.frozen:
+            return
+        arrived, node.inbox[source] = node.inbox[source], []
+        for frame in arrived:
+            link = node.links.open.get(source)
+            if frame is None:
+                if link is not None:
+                    self.close(node, source)
+                continue
+            if link is None:
+                continue
+            link.heard_ms = self.clock.now_ms()
+            link.peer.heard_ms = link.heard_ms
+            if frame.HasField("heartbeat"):
+                note = links_module.Links._note_heartbeat
+                note(
+                    types.SimpleNamespace(_clock=self.clock),
+                    link,
+                    frame.heartbeat,
+                )
+            node.traffic.received(link, frame)
+        self.spin()
+
+    def ask(self, name: str, affinity: int) -> None:
+        """Let a router ask for a slot."""
+        node = self.nodes[name]
+        if node.frozen:
+            return
+        need = seats_module.Need(POOL, "bakery", "gold", 1, 10_000, affinity)
+
+        async def hold() -> None:
+            node.grants.append(await node.seats.acquire(need))
+
+        node.asking.append(self.loop.create_task(hold()))
+        self.spin()
+
+    def finish(self, name: str) -> None:
+        """Let a router's oldest answer end."""
+        node = self.nodes[name]
+        if node.grants and not node.frozen:
+            node.seats.release(node.grants.pop(0))
+
+    def settle(self, rounds: int = 6) -> None:
+        """Exchange everything, with no time passing."""
+        for _ in range(rounds):
+            for one in self.nodes:
+                for two in self.nodes:
+                    if one != two:
+                        self.flush(one, two)
+            for one in self.nodes:
+                for two in self.nodes:
+                    if one != two:
+                        self.process(one, two)
+
+    def probe(self, name: str) -> None:
+        """Let a home read the engines' reports, which lag."""
+        node = self.nodes[name]
+        if node.frozen:
+            return
+        now_ms = self.clock.now_ms()
+        seen: collections.Counter = collections.Counter()
+        for at_ms, loads in self.running:
+            if at_ms <= now_ms - LAG_MS:
+                seen = loads
+        for target in node.desks.probed():
+            node.targets.note_report(target, seen[target.name], False)
+            node.desks.note_report(target)
+
+    def observe(self) -> None:
+        """Keep what runs at the engines now, for later reports."""
+        loads = collections.Counter(
+            grant.target
+            for node in self.nodes.values()
+            for grant in node.grants
+        )
+        self.running.append((self.clock.now_ms(), loads))
+        del self.running[:-100]
+
+    def step(self, delta_ms: int) -> None:
+        """Let time pass with regular work all along."""
+        for _ in range(max(1, delta_ms // 100)):
+            self.clock.advance(min(delta_ms, 100))
+            for name in self.nodes:
+                self.maintain(name)
+                self.nodes[name].members.list_seen_ms = self.clock.now_ms()
+                if self.clock.now_ms() % 1_000 < 100:
+                    self.beat(name)
+                    self.probe(name)
+            self.observe()
+            self.settle(2)
+
+    def connect_all(self) -> None:
+        """Open every link that can be opened, and attach everyone."""
+        names = list(self.nodes)
+        for index, one in enumerate(names):
+            for two in names[index + 1 :]:
+                self.connect(one, two)
+        self.settle()
+
+    def stop(self) -> None:
+        """End every task."""
+        for node in self.nodes.values():
+            for task in node.asking:
+                task.cancel()
+        self.spin()
+        for node in self.nodes.values():
+            for task in node.asking:
+                if task.done() and not task.cancelled():
+                    task.exception()
+        self.loop.close()
--- /dev/null
+++ b/tests/test_frames.py
@@ -0,0 +1,84 @@
+"""Checking engine frames: none is crossed, late, missing or doubled."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from bulrushdale.answers import frames
+
+
+def frame(number: int, data: bytes, stream: str = "s") -> bytes:
+    return f"id: {stream}/{number}\ndata: ".encode() + data + b"\n\n"
+
+
+def test_frames_of_another_stream_are_dropped() -> None:
+    splitter = frames.Splitter("s")
+    data = frame(0, b"a") + frame(1, b"x", "other") + frame(1, b"b")
+    assert splitter.feed(data) == [b"a", b"b"]
+    assert splitter.counts.crossed == 1
+
+
+def test_a_stream_whose_name_is_a_prefix_is_another_stream() -> None:
+    splitter = frames.Splitter("s")
+    assert splitter.feed(frame(0, b"x", "s/0")) == []
+    assert splitter.counts.crossed == 1
+
+
+def test_late_frames_are_dropped() -> None:
+    splitter = frames.Splitter("s")
+    data = frame(0, b"a") + frame(0, b"a") + frame(1, b"b") + frame(0, b"a")
+    assert splitter.feed(data) == [b"a", b"b"]
+    assert splitter.counts.late == 2
+
+
+def test_a_missing_frame_is_a_gap() -> None:
+    splitter = frames.Splitter("s")
+    assert splitter.feed(frame(0, b"a") + frame(2, b"c")) == [b"a"]
+    assert splitter.gap
+
+
+def test_a_line_without_end_is_a_gap() -> None:
+    splitter = frames.Splitter("s")
+    splitter.feed(b"x" * (frames.FRAME_LIMIT_BYTES + 1))
+    assert splitter.gap
+
+
+def test_nothing_follows_the_end_mark() -> None:
+    splitter = frames.Splitter("s")
+    data = frame(0, frames.END_MARK) + frame(1, b"b")
+    assert splitter.feed(data) == [frames.END_MARK]
+    assert splitter.done
+
+
+@settings(derandomize=True, max_examples=300)
+@given(
+    words=st.lists(st.binary(max_size=8).filter(lambda w: b"\n" not in w)),
+    noise=st.lists(st.tuples(st.integers(0, 9), st.integers(0, 9))),
+    cuts=st.lists(st.integers(1, 40)),
+)
+def test_any_noise_in_any_pieces_yields_the_words_in_order(
+    words: list[bytes], noise: list[tuple[int, int]], cuts: list[int]
+) -> None:
+    sent = [frame(number, word) for number, word in enumerate(words)]
+    for place, late in noise:
+        stray = frame(late, b"stray", "other")
+        repeated = (
+            frame(min(late, place), words[min(late, place)])
+            if (place < len(words))
+            else stray
+        )
+        sent.insert(min(2 * place, len(sent)), stray)
+        if place < len(words):
+            index = sent.index(frame(place, words[place]))
+            sent.insert(index + 1, repeated)
+    data = b"".join(sent)
+    splitter = frames.Splitter("s")
+    taken: list[bytes] = []
+    for cut in cuts:
+        taken += splitter.feed(data[:cut])
+        data = data[cut:]
+    taken += splitter.feed(data)
+    expected = words
+    if frames.END_MARK in words:
+        expected = words[: words.index(frames.END_MARK) + 1]
+    assert taken == expected
--- /dev/null
+++ b/tests/test_queue.py
@@ -0,0 +1,65 @@
+"""Weighted queueing: shares by weight, and nobody starves."""
+
+import collections
+
+from bulrushdale.admission import queue
+
+
+def ask(team: str, weight: int, seq: int) -> queue.Ask:
+    return queue.Ask("r", seq, team, "c", weight, 0, 0, 0, 0, 10_000)
+
+
+def taken(waiting: queue.WeightedQueue, count: int) -> collections.Counter:
+    served: collections.Counter = collections.Counter()
+    for _ in range(count):
+        one = waiting.take(lambda _: True)
+        waiting.charge(one.team, one.weight)
+        served[one.team] += 1
+    return served
+
+
+def test_shares_follow_the_weights() -> None:
+    waiting = queue.WeightedQueue()
+    for seq in range(200):
+        waiting.push(ask("gold", 8, seq))
+        waiting.push(ask("bronze", 1, 1_000 + seq))
+    served = taken(waiting, 90)
+    assert served["gold"] == 80
+    assert served["bronze"] == 10
+
+
+def test_a_team_of_least_weight_is_served_among_many() -> None:
+    waiting = queue.WeightedQueue()
+    for seq in range(300):
+        waiting.push(ask("gold", 100, seq))
+    waiting.push(ask("bronze", 1, 1_000))
+    assert taken(waiting, 300)["bronze"] == 1
+
+
+def test_a_team_that_may_not_start_does_not_block_others() -> None:
+    waiting = queue.WeightedQueue()
+    waiting.push(ask("gold", 8, 1))
+    waiting.push(ask("bronze", 1, 2))
+    one = waiting.take(lambda item: item.team == "bronze")
+    assert one.team == "bronze"
+    assert len(waiting) == 1
+
+
+def test_idle_time_earns_no_credit() -> None:
+    waiting = queue.WeightedQueue()
+    for seq in range(100):
+        waiting.push(ask("busy", 1, seq))
+    taken(waiting, 50)
+    for seq in range(50):
+        waiting.push(ask("idle", 1, 1_000 + seq))
+    served = taken(waiting, 20)
+    assert served["busy"] >= 9
+
+
+def test_ahead_counts_own_and_weighted_others() -> None:
+    waiting = queue.WeightedQueue()
+    for seq in range(20):
+        waiting.push(ask("gold", 8, seq))
+    assert waiting.ahead("bronze", 1) == 8
+    waiting.push(ask("bronze", 1, 100))
+    assert waiting.ahead("bronze", 1) == 17
--- /dev/null
+++ b/tests/test_seats.py
@@ -0,0 +1,183 @@
+"""Slots across several routers: the bound holds whatever they believe."""
+
+from collections import abc
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from tests import slot_network
+
+PROMISE = {"load_multiple": 1.25, "least_bound": 2, "team_share": 1.0}
+NAMES = ["router-0", "router-1", "router-2"]
+
+
+@pytest.fixture
+def network() -> abc.Iterator[slot_network.Network]:
+    found = slot_network.Network(3, PROMISE)
+    found.connect_all()
+    found.step(3_000)
+    yield found
+    found.stop()
+
+
+def home(network: slot_network.Network, name: str) -> str | None:
+    return network.nodes[name].seats._seats[("chat", 0)].home
+
+
+def held(network: slot_network.Network) -> int:
+    return sum(len(node.grants) for node in network.nodes.values())
+
+
+def surge(network: slot_network.Network, name: str, count: int) -> None:
+    for number in range(count):
+        network.ask(name, number % 2)
+        network.settle(2)
+
+
+def test_everyone_attaches_to_one_home(network) -> None:
+    assert len({home(network, name) for name in NAMES}) == 1
+
+
+def test_a_surge_on_two_prefixes_stays_within_the_bound(network) -> None:
+    for name in NAMES:
+        surge(network, name, 10)
+    assert held(network) == 30
+    assert network.broken == []
+
+
+def test_a_home_that_drains_hands_over(network) -> None:
+    old = home(network, "router-0")
+    surge(network, "router-1", 6)
+    network.nodes[old].members.own.draining = True
+    network.step(2_000)
+    assert home(network, "router-1") != old
+    surge(network, "router-1", 6)
+    assert held(network) == 12
+    assert network.broken == []
+    desk = network.nodes[home(network, "router-1")].desks.desk(("chat", 0))
+    assert desk.in_flight == 12
+
+
+def test_a_frozen_home_and_its_heir_stay_within_the_bound(network) -> None:
+    old = home(network, "router-0")
+    others = [name for name in NAMES if name != old]
+    surge(network, others[0], 9)
+    network.nodes[old].frozen = True
+    for name in others:
+        surge(network, name, 4)
+    network.step(8_000)
+    network.connect_all()
+    assert home(network, others[0]) != old
+    for name in others:
+        surge(network, name, 10)
+    network.nodes[old].frozen = False
+    for name in NAMES:
+        surge(network, name, 5)
+    network.step(500)
+    assert network.broken == []
+    assert held(network) > 9
+
+
+def test_both_sides_of_a_cut_stay_within_the_bound(network) -> None:
+    old = home(network, "router-0")
+    others = [name for name in NAMES if name != old]
+    network.cuts = {frozenset((old, name)) for name in others}
+    network.step(8_000)
+    assert home(network, old) == old
+    assert home(network, others[0]) == home(network, others[1]) != old
+    for name in NAMES:
+        surge(network, name, 12)
+    assert network.broken == []
+    assert len(network.nodes[old].grants) == 0
+    assert held(network) == 24
+    network.cuts = set()
+    network.connect_all()
+    network.step(4_000)
+    assert len({home(network, name) for name in NAMES}) == 1
+    assert network.broken == []
+
+
+class Fleet(stateful.RuleBasedStateMachine):
+    """Cuts, freezes, delays and surges in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.network = slot_network.Network(3, PROMISE)
+        self.network.connect_all()
+        self.network.step(500)
+
+    @stateful.rule(name=st.sampled_from(NAMES), count=st.integers(1, 6))
+    def ask(self, name: str, count: int) -> None:
+        for number in range(count):
+            self.network.ask(name, number % 2)
+
+    @stateful.rule(name=st.sampled_from(NAMES), count=st.integers(1, 6))
+    def finish(self, name: str, count: int) -> None:
+        for _ in range(count):
+            self.network.finish(name)
+
+    @stateful.rule(
+        one=st.sampled_from(NAMES),
+        two=st.sampled_from(NAMES),
+        both=st.booleans(),
+    )
+    def deliver(self, one: str, two: str, both: bool) -> None:
+        if one == two:
+            return
+        self.network.flush(one, two)
+        if both:
+            self.network.process(two, one)
+
+    @stateful.rule()
+    def settle(self) -> None:
+        self.network.settle()
+
+    @stateful.rule(
+        name=st.sampled_from(NAMES), delta_ms=st.sampled_from([200, 1_300])
+    )
+    def time_passes_for_one(self, name: str, delta_ms: int) -> None:
+        self.network.observe()
+        self.network.clock.advance(delta_ms)
+        self.network.beat(name)
+        self.network.probe(name)
+        self.network.maintain(name)
+
+    @stateful.rule(delta_ms=st.sampled_from([300, 1_000, 4_000]))
+    def time_passes(self, delta_ms: int) -> None:
+        self.network.step(delta_ms)
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def freeze_or_thaw(self, name: str) -> None:
+        node = self.network.nodes[name]
+        node.frozen = not node.frozen
+
+    @stateful.rule(one=st.sampled_from(NAMES), two=st.sampled_from(NAMES))
+    def cut_or_mend(self, one: str, two: str) -> None:
+        if one != two:
+            self.network.cuts ^= {frozenset((one, two))}
+
+    @stateful.rule()
+    def dial(self) -> None:
+        names = NAMES
+        for one, two in (names[:2], names[1:], names[::2]):
+            self.network.connect(one, two)
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def drain(self, name: str) -> None:
+        own = self.network.nodes[name].members.own
+        own.draining = not own.draining
+
+    @stateful.invariant()
+    def bound_holds(self) -> None:
+        assert self.network.broken == []
+
+    def teardown(self) -> None:
+        self.network.stop()
+
+
+Fleet.TestCase.settings = settings(
+    max_examples=12, stateful_step_count=25, derandomize=True, deadline=None
+)
+TestFleet = Fleet.TestCase
