--- a/src/bulrushdale/catalogue/tail.py
+++ b/src/bulrushdale/catalogue/tail.py
@@ -4,7 +4,6 @@
 import typing
 import uuid
 
-from bulrushdale.catalogue import entries
 from bulrushdale.catalogue import fold
 from bulrushdale import clock as clock_module
 from bulrushdale.platform import log
@@ -12,7 +11,7 @@
 PAGE_RECORDS = 1_000
 LOG = logging.getLogger(__name__)
 
-OnChange = typing.Callable[[int, list[entries.Entry]], None]
+OnChange = typing.Callable[[int], None]
 
 
 class Tail:
@@ -22,8 +21,7 @@
     :param client: the log.
     :param clock: the clock.
     :param retention_ms: how long the log keeps a record, in ms.
-    :param on_change: called with the offset before the changes and the
-        entries that changed.
+    :param on_change: called with the offset before the changes.
 
     .. versionadded:: 0.1
     """
@@ -34,7 +32,6 @@
         "_clock",
         "_retention_ms",
         "_on_change",
-        "_changed",
         "_snapshot_time_ms",
         "read_ms",
     )
@@ -52,10 +49,8 @@
         self._clock = clock
         self._retention_ms = retention_ms
         self._on_change = on_change
-        self._changed: list[entries.Entry] = []
         self._snapshot_time_ms = 0
         self.read_ms: int | None = None
-        catalogue.subscribe(self._changed.append)
 
     async def poll(self) -> None:
         """Read and fold everything new.
@@ -63,7 +58,6 @@
         :raises LogUnavailableError: if the log doesn't answer.
         """
         base = self._catalogue.offset
-        self._changed.clear()
         while True:
             page = await self._log.read(
                 fold.STREAM, self._catalogue.offset, PAGE_RECORDS
@@ -78,10 +72,8 @@
                 break
         self._catalogue.advance(self._catalogue.offset)
         self.read_ms = self._clock.now_ms()
-        changed = list(self._changed)
-        self._changed.clear()
-        if changed or self._catalogue.offset != base:
-            self._on_change(base, changed)
+        if self._catalogue.offset != base:
+            self._on_change(base)
 
     def _fold(self, record: log.Record) -> None:
         if record.data.get("type") == "snapshot":
--- a/src/bulrushdale/traffic.py
+++ b/src/bulrushdale/traffic.py
@@ -185,9 +185,17 @@
             if link is not source and to_here != from_here:
                 _add_entries(link, changed)
 
-    def folded(self, base: int, changed: list[entries.Entry]) -> None:
-        """Tell all peers what was read from the log."""
-        offset = self._parts.catalogue.offset
+    def folded(self, base: int) -> None:
+        """Tell all peers what was read from the log.
+
+        Everything changed since *base* goes out, also what was known here
+        before it was read: a peer may have been out of reach then.
+
+        :param base: the offset before the read.
+        """
+        catalogue = self._parts.catalogue
+        offset = catalogue.offset
+        changed = [e for e in catalogue.everything() if e.revision > base]
         for link in self._parts.links.all():
             if link.peer.catalogue_offset >= offset:
                 continue
--- /dev/null
+++ b/tests/test_traffic.py
@@ -0,0 +1,90 @@
+"""What routers tell each other of the catalogue."""
+
+from collections import abc
+import types
+
+import pytest
+
+from bulrushdale.catalogue import entries
+from bulrushdale.catalogue import fold
+from bulrushdale import clock as clock_module
+from bulrushdale.control import control_pb2 as pb
+from bulrushdale.fleet import links
+from bulrushdale.fleet import members
+from bulrushdale import traffic
+from tests import slot_network
+
+
+def router(name: str, clock: clock_module.Clock) -> types.SimpleNamespace:
+    own = members.Member(name, "mid-a")
+    parts = types.SimpleNamespace(
+        catalogue=fold.Catalogue(),
+        members=members.Members(own, clock, 15_000),
+        links=slot_network.Links(),
+    )
+    parts.traffic = traffic.Traffic(clock)
+    parts.traffic.bind(parts)
+    return parts
+
+
+@pytest.fixture
+def pair(clock) -> abc.Iterator[tuple]:
+    one, two = router("router-0", clock), router("router-1", clock)
+    for here, there in ((one, two), (two, one)):
+        peer = here.members.ensure(there.members.own.name, "mid-a")
+        here.links.open[peer.name] = links.Link(peer, clock.now_ms())
+    return one, two
+
+
+def entry(name: str, revision: int) -> entries.Entry:
+    spec = {"weight": 1, "queue_ms": 10}
+    return slot_network.entry("class", name, spec, revision)
+
+
+def send(source, sink) -> None:
+    """Carry the catalogue message that one router has queued."""
+    out = source.links.open[sink.members.own.name]
+    update = out._pending.catalogue
+    out._pending = pb.Frame()
+    back = sink.links.open[source.members.own.name]
+    sink.traffic._receive_catalogue(back, update)
+
+
+def test_an_offset_is_not_passed_on_without_the_entries_below_it(pair):
+    one, two = pair
+    two.catalogue.advance(3)
+    one.catalogue.advance(3)
+    # The entry was accepted here before the link to the peer was open.
+    one.catalogue.merge([entry("gold", 4)])
+    one.catalogue.advance(4)
+    one.traffic.folded(3)
+    send(one, two)
+    assert two.catalogue.offset == 4
+    assert two.catalogue.revision("class", "gold") == 4
+
+
+def test_a_peer_that_missed_changes_asks_for_everything(pair):
+    one, two = pair
+    two.catalogue.advance(3)
+    one.catalogue.merge([entry("gold", 5), entry("bronze", 8)])
+    one.catalogue.advance(8)
+    one.traffic.folded(7)
+    send(one, two)
+    assert two.catalogue.offset == 3
+    send(two, one)
+    send(one, two)
+    assert two.catalogue.offset == 8
+    assert two.catalogue.revision("class", "gold") == 5
+
+
+def test_a_stale_peer_can_not_bring_an_entry_back(pair):
+    one, two = pair
+    one.catalogue.merge([entry("gold", 2)])
+    one.catalogue.advance(2)
+    deleted = entries.Entry("class", "gold", 6, None, 0, "tester")
+    two.catalogue.merge([deleted])
+    two.catalogue.advance(6)
+    one.traffic._send_all(one.links.open["router-1"])
+    send(one, two)
+    assert two.catalogue.offset == 6
+    assert two.catalogue.revision("class", "gold") == 0
