--- a/examples/standins/engine.py
+++ b/examples/standins/engine.py
@@ -75,7 +75,7 @@
         self.waiting: list = []
         self.order = itertools.count()
         self.cache: collections.OrderedDict = collections.OrderedDict()
-        self.reports: collections.deque = collections.deque(maxlen=200)
+        self.reports: collections.deque = collections.deque(maxlen=2_000)
         self.stats = collections.Counter()
         self.events: list[tuple[int, int]] = []
         self.started: list[tuple[int, str]] = []
@@ -104,6 +104,7 @@
         """Note that a request began or ended."""
         self.running += delta
         self.events.append((time.monotonic_ns(), delta))
+        self.reports.append((time.monotonic(), self.running))
         self.stats["peak"] = max(self.stats["peak"], self.running)
 
     async def slot(self, priority: int) -> None:
@@ -278,9 +279,8 @@
 
     async def load(_: web.Request) -> web.Response:
         now = time.monotonic()
-        engine.reports.append((now, engine.running))
         lag = engine.options["report_lag_ms"] / 1000
-        seen = engine.reports[0][1]
+        seen = 0
         for at, running in engine.reports:
             if at <= now - lag:
                 seen = running
--- a/src/bulrushdale/admission/desk.py
+++ b/src/bulrushdale/admission/desk.py
@@ -23,6 +23,8 @@
 RESERVE_SHARE = 0.1
 # A report may be as old as this when it arrives.
 REPORT_LAG_MS = 1_000
+# So long a request may be under way to its target after its grant.
+ARRIVAL_MS = 40
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,13 +100,18 @@
         "_load",
         "_foreign",
         "_unknown",
-        "_range",
+        "_since_ms",
+        "_history",
         "_tokens",
         "_teams",
         "_queue",
         "_chats",
         "_hold_ms",
         "_orphans",
+        "_young",
+        "_young_slots",
+        "_recent",
+        "_orphaned",
         "granted",
     )
 
@@ -133,7 +140,8 @@
         self._load: collections.Counter[str] = collections.Counter()
         self._foreign: dict[str, int] = {}
         self._unknown: dict[str, int] = {}
-        self._range: dict[str, _Range] = {}
+        self._since_ms = -1
+        self._history: dict[str, _History] = {}
         self._tokens: collections.Counter[str] = collections.Counter()
         self._teams: collections.Counter[str] = collections.Counter()
         self._queue = queue.WeightedQueue()
@@ -142,6 +150,12 @@
         )
         self._hold_ms = FIRST_HOLD_MS
         self._orphans: dict[str, int] = {}
+        self._young: collections.Counter[str] = collections.Counter()
+        self._young_slots: dict[tuple[str, int], str] = {}
+        self._recent: collections.deque[tuple[tuple[str, int], int]] = (
+            collections.deque()
+        )
+        self._orphaned: collections.Counter[str] = collections.Counter()
         self.granted = 0
 
     @property
@@ -196,7 +210,7 @@
     ) -> float:
         """Estimate how long a new request would wait (Little's law)."""
         ahead = self._queue.ahead(ask.team, ask.weight)
-        running = max(1, min(self.in_flight, self._capacity(targets)))
+        running = self._capacity(targets)
         limit, _ = self._team_limits(ask.team)
         if self._teams[ask.team] >= limit:
             running = min(running, limit)
@@ -232,20 +246,22 @@
         """Return the target, the reason and the bound, or none."""
         if not self._team_may_start(ask.team, targets):
             return None
+        self._age_grants()
         standing = self._standing()
         if not standing.majority:
             return None
+        self._follow(standing)
         loads = {
             target.name: self._load_with(target.name, standing)
             for target in targets
         }
         # The mean counts only what is certain, a target's load whatever
         # may be there: neither error lets the bound be passed.
-        total = sum(self.load(target.name) for target in targets) + 1
+        total = sum(self._certain(target.name) for target in targets) + 1
         bounds = {
             target.name: self._bound(target, total, len(targets))
             for target in targets
-            if standing.complete or self._reported(target, standing)
+            if standing.complete or target.name in self._unknown
         }
         free = [
             name
@@ -260,19 +276,52 @@
         )
         return name, reason, bounds[name]
 
+    def _certain(self, name: str) -> int:
+        """Return how much surely runs on a target.
+
+        A request that was granted a moment ago may not have arrived, the
+        answers of a lost router may have ended, and so may what a target
+        reported beside its grants.
+        """
+        sure = self._load[name] - self._orphaned[name] - self._young[name]
+        return max(0, sure)
+
+    def _age_grants(self) -> None:
+        """Count the requests as arrived that were granted long enough ago."""
+        before_ms = self._clock.now_ms() - ARRIVAL_MS
+        while self._recent and self._recent[0][1] <= before_ms:
+            key, since_ms = self._recent.popleft()
+            slot = self._slots.get(key)
+            if slot is not None and slot.since_ms == since_ms:
+                self._arrived(key)
+
+    def _arrived(self, key: tuple[str, int]) -> None:
+        """Count a request as arrived, or as gone."""
+        target = self._young_slots.pop(key, None)
+        if target is not None:
+            _decrease(self._young, target, 1)
+
     def _load_with(self, name: str, standing: bound.Standing) -> int:
         """Return a target's load, with what others may have granted."""
         if standing.complete:
             return self.load(name)
         return self._load[name] + self._unknown.get(name, 0)
 
-    def _reported(
-        self, target: targets_module.Target, standing: bound.Standing
-    ) -> bool:
-        """Whether a target's report tells what its last home granted."""
-        if target.probed_ms is None:
+    def _follow(self, standing: bound.Standing) -> None:
+        """Forget what was known beside the ledger in an earlier tenure."""
+        if standing.since_ms != self._since_ms:
+            self._since_ms = standing.since_ms
+            self._unknown.clear()
+
+    def unsettled(self) -> bool:
+        """Return whether reports may still show more room on targets."""
+        standing = self._standing()
+        if standing.complete or not standing.majority:
             return False
-        return target.probed_ms >= standing.since_ms + REPORT_LAG_MS
+        self._follow(standing)
+        return any(
+            self._unknown.get(target.name, 1) for target in self._usable()
+        )
 
     def _team_may_start(
         self, team: str, targets: list[targets_module.Target]
@@ -292,6 +341,9 @@
     ) -> None:
         slot = Slot(name, ask.team, ask.tokens, self._clock.now_ms())
         self._add((ask.router, ask.seq), slot)
+        self._young[name] += 1
+        self._young_slots[(ask.router, ask.seq)] = name
+        self._recent.append(((ask.router, ask.seq), slot.since_ms))
         self._queue.charge(ask.team, ask.weight)
         if ask.chat:
             self._remember(ask.chat, name)
@@ -315,14 +367,15 @@
         self._load[slot.target] += 1
         self._tokens[slot.target] += slot.tokens
         self._teams[slot.team] += 1
-        self._ranged(slot.target)
+        self._note_load(slot.target)
 
     def _drop(self, key: tuple[str, int]) -> Slot | None:
         slot = self._slots.pop(key, None)
         if slot is None:
             return None
         _decrease(self._load, slot.target, 1)
-        self._ranged(slot.target)
+        self._arrived(key)
+        self._note_load(slot.target)
         _decrease(self._tokens, slot.target, slot.tokens)
         _decrease(self._teams, slot.team, 1)
         return slot
@@ -362,6 +415,7 @@
         :param held: number, target, team and tokens of each slot.
         """
         self._orphans.pop(router, None)
+        self._count_orphans()
         self._queue.remove(lambda ask: ask.router == router)
         known = {key for key in self._slots if key[0] == router}
         now_ms = self._clock.now_ms()
@@ -378,6 +432,7 @@
         for key in [key for key in self._slots if key[0] == router]:
             self._drop(key)
         self._orphans.pop(router, None)
+        self._count_orphans()
         self._drain()
 
     def orphan(self, router: str, hold_ms: int) -> None:
@@ -388,37 +443,57 @@
         """
         self._queue.remove(lambda ask: ask.router == router)
         self._orphans[router] = self._clock.now_ms() + hold_ms
+        self._count_orphans()
+
+    def _expire_orphans(self, router: str) -> None:
+        """Drop a lost router's slots; some may run until a report shows."""
+        for (holder, _), slot in self._slots.items():
+            if holder == router and slot.target in self._unknown:
+                self._unknown[slot.target] += 1
+        self.detach(router)
+
+    def _count_orphans(self) -> None:
+        self._orphaned = collections.Counter(
+            slot.target
+            for (router, _), slot in self._slots.items()
+            if router in self._orphans
+        )
 
-    def _ranged(self, target: str) -> None:
-        """Keep the least and the most granted on a target lately."""
-        load = self._load[target]
-        held = self._range.get(target)
-        if held is None:
-            held = self._range[target] = _Range(load)
-        held.note(load)
+    def _note_load(self, target: str) -> None:
+        """Keep what was granted on a target lately."""
+        history = self._history.get(target)
+        if history is None:
+            history = self._history[target] = _History()
+        history.note(self._clock.now_ms(), self._load[target])
 
     def note_report(self, target: str, running: int) -> None:
         """Compare what a target reports with what was granted here.
 
         A report lags, so it is compared with the most and the least that
-        was granted since the last report but one: the first tells what
-        certainly runs beside, the second what may run beside.
+        was granted within the lag: the first tells what
+        certainly runs beside, the second what may run beside. Nobody else
+        grants while this home has the majority, so the second only falls.
 
         :param target: the target that was probed.
         :param running: what it says is running.
         """
-        self._ranged(target)
-        held = self._range[target]
-        self._foreign[target] = max(0, running - held.most())
-        self._unknown[target] = max(0, running - held.least())
-        held.turn(self._load[target])
+        self._note_load(target)
+        history = self._history[target]
+        self._foreign[target] = max(0, running - history.most())
+        standing = self._standing()
+        self._follow(standing)
+        age_ms = self._clock.now_ms() - standing.since_ms
+        if standing.majority and age_ms >= REPORT_LAG_MS:
+            most = self._unknown.get(target, running)
+            beside = max(0, running - history.least())
+            self._unknown[target] = min(most, beside)
 
     def tick(self) -> None:
         """Refuse what has waited too long and start what may start."""
         now_ms = self._clock.now_ms()
         for router, until_ms in list(self._orphans.items()):
             if now_ms >= until_ms:
-                self.detach(router)
+                self._expire_orphans(router)
         for ask in self._queue.remove(lambda a: a.deadline_ms <= now_ms):
             self._refuse(ask, results.Code.QUEUE_DEADLINE, self._hold_ms)
         self._drain()
@@ -454,29 +529,29 @@
         return collections.Counter(router for router, _ in self._slots)
 
 
-class _Range:
-    """The least and the most of a value in two spans of time."""
-
-    __slots__ = ("_older", "_newer")
+class _History:
+    """The values that a number had within the lag of a report."""
 
-    def __init__(self, value: int) -> None:
-        self._older = (0, value)
-        self._newer = (value, value)
+    __slots__ = ("_values",)
 
-    def note(self, value: int) -> None:
-        least, most = self._newer
-        self._newer = (min(least, value), max(most, value))
+    def __init__(self) -> None:
+        self._values: collections.deque[tuple[int, int]] = collections.deque()
 
-    def turn(self, value: int) -> None:
-        """Begin a new span at a value."""
-        self._older = self._newer
-        self._newer = (value, value)
+    def note(self, now_ms: int, value: int) -> None:
+        """Add the present value."""
+        self._values.append((now_ms, value))
+        # The newest value from before the span is still one of its values.
+        while (
+            len(self._values) > 1
+            and self._values[1][0] <= now_ms - REPORT_LAG_MS
+        ):
+            self._values.popleft()
 
     def least(self) -> int:
-        return min(self._older[0], self._newer[0])
+        return min(value for _, value in self._values)
 
     def most(self) -> int:
-        return max(self._older[1], self._newer[1])
+        return max(value for _, value in self._values)
 
 
 def _decrease(
--- a/src/bulrushdale/admission/desks.py
+++ b/src/bulrushdale/admission/desks.py
@@ -207,6 +207,10 @@
         """Return the shards for which some router is attached here."""
         return [key for key, routers in self._attached.items() if routers]
 
+    def unsettled(self) -> bool:
+        """Return whether some desk needs more of its targets' reports."""
+        return any(self.desk(key).unsettled() for key in self.active())
+
     def probed(self) -> list[targets_module.Target]:
         """Return the targets that this router has to probe."""
         found = []
--- a/src/bulrushdale/daemon.py
+++ b/src/bulrushdale/daemon.py
@@ -36,6 +36,9 @@
 LOG = logging.getLogger(__name__)
 
 SEATS_INTERVAL_MS = 100
+DESKS_INTERVAL_MS = 20
+# While a new home waits for reports it probes at every step.
+PROBE_STEP_MS = 250
 RETIRE_INTERVAL_MS = 30_000
 DRAIN_POLL_MS = 50
 # After this long without news of the platform a router reads for itself.
@@ -153,6 +156,7 @@
     async def start(self) -> None:
         """Open the ports and start the background work."""
         self._clock = clock_module.Clock()
+        self._probed_ms = 0
         self._stack = contextlib.AsyncExitStack()
         session = await self._stack.enter_async_context(
             aiohttp.ClientSession(
@@ -190,7 +194,8 @@
             (poll_ms, self._follow_log),
             (poll_ms, self._follow_list),
             (SEATS_INTERVAL_MS, self._keep_seats),
-            (targets_module.PROBE_INTERVAL_MS, self._probe),
+            (DESKS_INTERVAL_MS, self._keep_desks),
+            (PROBE_STEP_MS, self._probe),
             (RETIRE_INTERVAL_MS, self._parts.holder.retire),
         ]
 
@@ -300,13 +305,18 @@
     async def _keep_seats(self) -> None:
         if self._parts.catalogue.loaded:
             self._parts.seats.maintain()
-            self._parts.desks.tick()
+
+    async def _keep_desks(self) -> None:
+        self._parts.desks.tick()
 
     async def _probe(self) -> None:
         parts = self._parts
-        probed = parts.desks.probed()
-        if not probed:
+        now_ms = self._clock.now_ms()
+        due = now_ms - self._probed_ms >= targets_module.PROBE_INTERVAL_MS
+        if not due and not parts.desks.unsettled():
             return
+        self._probed_ms = now_ms
+        probed = parts.desks.probed()
         await asyncio.gather(
             *(
                 targets_module.probe(parts.session, parts.targets, target)
--- a/tests/replay.py
+++ b/tests/replay.py
@@ -40,6 +40,8 @@
     ran: str = ""
     text: typing.Any = None
     elapsed_ms: float = 0
+    content: str = ""
+    tokens: int = 0
     headers: dict = dataclasses.field(default_factory=dict)
 
 
@@ -154,13 +156,13 @@
     async def do_chat(self, line: dict) -> None:
         """Ask for a whole completion."""
         answer = Answer(line.get("label", "chat"))
+        answer.content = line.get("content", "hello")
+        answer.tokens = line.get("tokens", 8)
         self.answers.append(answer)
         started = time.monotonic()
         body = {
-            "messages": [
-                {"role": "user", "content": line.get("content", "hello")}
-            ],
-            "max_tokens": line.get("tokens", 8),
+            "messages": [{"role": "user", "content": answer.content}],
+            "max_tokens": answer.tokens,
         }
         try:
             status, text, headers = await self.up.chat(
@@ -311,8 +313,8 @@
             good += 1
             text = answer.text["choices"][0]["message"]["content"]
             count = len(text.split())
-            content = answer.headers["X-Test-Content"]
-            messages = [{"role": "user", "content": content}]
+            messages = [{"role": "user", "content": answer.content}]
+            assert count == answer.tokens
             assert text == "".join(engine.answer_words(messages, count))
         assert good >= line.get("at_least", 1)
 
@@ -342,6 +344,16 @@
             line["multiple"],
             line["least"],
             line["window_ms"],
+            [
+                (
+                    out["name"],
+                    *(
+                        self.begun_ns + out[k] * 1_000_000
+                        for k in ("from_ms", "to_ms")
+                    ),
+                )
+                for out in line.get("out", [])
+            ],
         )
         assert report.starts > line.get("starts", 0)
         assert report.broken == [], report.broken[:5]
@@ -370,8 +382,13 @@
     multiple: float,
     least: int,
     window_ms: int,
+    out: list[tuple[str, int, int]] = (),
 ) -> BoundReport:
-    """Compare every start on every engine with the bound at that time."""
+    """Compare every start on every engine with the bound at that time.
+
+    :param out: engines that refuse work, with the times from which and to
+        which; the mean is then that of the others.
+    """
     events = []
     engines = up.engine_names()
     for name in engines:
@@ -383,21 +400,23 @@
     report = BoundReport(0, 0, [], [])
     for at, delta, name in events:
         loads[name] += delta
-        total = sum(loads.values())
-        totals.append((at, total))
+        away = {one for one, begin, end in out if begin <= at < end}
+        serving = [one for one in engines if one not in away]
+        total = sum(loads[one] for one in serving)
+        mean = total / len(serving)
+        totals.append((at, mean))
         while totals[0][0] < at - window_ms * 1_000_000:
             totals.popleft()
-        if total >= len(engines):
-            busiest = max(loads.values())
-            report.skew.append(busiest * len(engines) / total)
+        if mean >= 1:
+            report.skew.append(max(loads.values()) / mean)
         if delta < 0 or at < since_ns:
             continue
         report.starts += 1
-        limit = max(least, math.ceil(multiple * total / len(engines)))
+        limit = max(least, math.ceil(multiple * mean))
         if loads[name] <= limit:
             continue
-        most = max(count for _, count in totals)
-        earlier = max(least, math.ceil(multiple * most / len(engines)))
+        most = max(earlier for _, earlier in totals)
+        earlier = max(least, math.ceil(multiple * most))
         if loads[name] <= earlier:
             report.moved += 1
         else:
--- /dev/null
+++ b/tests/test_desk.py
@@ -0,0 +1,302 @@
+"""One home's grants: the bound, limits, queueing and refusals."""
+
+import collections
+import random
+
+import pytest
+
+from bulrushdale.admission import bound
+from bulrushdale.admission import desk as desk_module
+from bulrushdale.admission import queue
+from bulrushdale.catalogue import entries
+from bulrushdale import clock as clock_module
+from bulrushdale.fleet import targets
+from bulrushdale import results
+
+SLOTS = 10
+
+
+class Office:
+    """A desk with its targets, limits and the replies it gave."""
+
+    def __init__(self, clock: clock_module.ManualClock) -> None:
+        self.clock = clock
+        self.promise = entries.Promise(least_bound=2, team_share=1.0)
+        self.standing = bound.Standing(True, True, 0)
+        self.limits: dict[str, tuple[int, int]] = {}
+        self.targets = [
+            targets.Target(
+                f"engine-{number}",
+                entries.Target(
+                    pool="chat",
+                    data_centre="mid-a",
+                    url="http://127.0.0.1:1",
+                    slots=SLOTS,
+                ),
+            )
+            for number in range(4)
+        ]
+        self.replies: dict[int, desk_module.Reply] = {}
+        self.seq = 0
+        self.desk = desk_module.Desk(
+            usable=lambda: self.targets,
+            promise=lambda: self.promise,
+            team_limits=lambda team: self.limits.get(team, (1_000, 100)),
+            ramp=lambda _: 1.0,
+            standing=lambda: self.standing,
+            answer=self.answer,
+            clock=clock,
+            rng=random.Random(1),
+        )
+
+    def answer(self, ask: queue.Ask, reply: desk_module.Reply) -> None:
+        self.replies[ask.seq] = reply
+
+    def ask(
+        self, team: str = "bakery", weight: int = 1, affinity: int = 7
+    ) -> int:
+        self.seq += 1
+        now_ms = self.clock.now_ms()
+        self.desk.ask(
+            queue.Ask(
+                "router-0",
+                self.seq,
+                team,
+                "gold",
+                weight,
+                affinity,
+                0,
+                0,
+                now_ms,
+                now_ms + 5_000,
+            )
+        )
+        self.later(50)
+        return self.seq
+
+    def later(self, delta_ms: int) -> None:
+        self.clock.advance(delta_ms)
+        self.desk.tick()
+
+    def granted(self) -> list[int]:
+        return [s for s, r in self.replies.items() if r.code == 0]
+
+    def finish(self, seq: int) -> None:
+        self.desk.release("router-0", seq)
+        self.later(50)
+
+
+@pytest.fixture
+def office(clock: clock_module.ManualClock) -> Office:
+    return Office(clock)
+
+
+def test_one_prefix_spills_at_the_bound(office: Office) -> None:
+    for _ in range(16):
+        office.ask()
+    loads = office.desk.loads()
+    assert sum(loads.values()) == 16
+    assert max(loads.values()) <= 5
+
+
+def test_starts_that_may_be_under_way_do_not_raise_the_bound(
+    office: Office,
+) -> None:
+    advance = office.later
+    office.later = lambda _: None
+    for _ in range(20):
+        office.ask()
+    assert len(office.granted()) == 8
+    advance(50)
+    assert len(office.granted()) > 8
+
+
+def test_grants_that_end_at_once_leave_nothing_behind(
+    office: Office,
+) -> None:
+    for _ in range(50):
+        office.clock.advance(100)
+        office.finish(office.ask())
+    assert office.desk.in_flight == 0
+    for _ in range(40):
+        office.ask()
+    assert len(office.granted()) == 50 + 40
+
+
+def test_no_target_gets_more_than_its_slots(office: Office) -> None:
+    for _ in range(60):
+        office.ask()
+    assert max(office.desk.loads().values()) == SLOTS
+    assert office.desk.in_flight == 4 * SLOTS
+
+
+def test_idle_targets_are_used_before_anyone_waits(office: Office) -> None:
+    for _ in range(4 * SLOTS):
+        office.ask()
+    assert office.desk.queued == 0
+    assert office.desk.in_flight == 4 * SLOTS
+
+
+def test_a_surging_team_is_held_to_its_limit(office: Office) -> None:
+    office.limits["agencia"] = (6, 3)
+    for _ in range(20):
+        office.ask("agencia")
+    refused = [
+        r for r in office.replies.values() if r.code == results.Code.TEAM_LIMIT
+    ]
+    assert len(office.granted()) == 6
+    assert office.desk.queued == 3
+    assert len(refused) == 11
+    assert all(r.retry_after_ms > 0 for r in refused)
+    assert office.replies[office.ask("bakery")].code == 0
+
+
+def test_a_team_above_its_share_leaves_slots_for_others(
+    office: Office,
+) -> None:
+    office.promise = entries.Promise(least_bound=2, team_share=0.5)
+    for _ in range(60):
+        office.ask("agencia")
+    assert office.desk.in_flight == 4 * SLOTS - 4
+    assert office.replies[office.ask("bakery")].code == 0
+
+
+def test_under_overload_paid_shares_hold(office: Office) -> None:
+    office.limits = {"gold": (1_000, 500), "bronze": (1_000, 500)}
+    waiting = collections.deque()
+    for _ in range(4 * SLOTS):
+        waiting.append(office.ask("other"))
+    owners = {}
+    for _ in range(200):
+        owners[office.ask("gold", 8)] = "gold"
+        owners[office.ask("bronze", 1)] = "bronze"
+        office.clock.advance(-100)
+    served: collections.Counter = collections.Counter()
+    for _ in range(90):
+        before = set(office.granted())
+        office.finish(waiting.popleft())
+        for seq in set(office.granted()) - before:
+            served[owners[seq]] += 1
+            waiting.append(seq)
+    assert served["gold"] >= 75
+    assert served["bronze"] >= 8
+
+
+def test_a_wait_without_hope_is_refused_at_once(office: Office) -> None:
+    for _ in range(4 * SLOTS):
+        office.ask()
+    office.clock.advance(60_000)
+    for seq in office.granted():
+        office.desk.release("router-0", seq)
+    for _ in range(4 * SLOTS):
+        office.ask()
+    for _ in range(5):
+        office.ask()
+    asked_ms = office.clock.now_ms()
+    last = office.ask()
+    assert office.replies[last].code == results.Code.QUEUE_FULL
+    assert office.clock.now_ms() - asked_ms == 50
+    assert office.replies[last].retry_after_ms >= 200
+
+
+def test_the_deadline_ends_a_wait(office: Office) -> None:
+    for _ in range(4 * SLOTS + 1):
+        office.ask()
+    last = office.seq
+    assert last not in office.replies
+    office.later(5_000)
+    assert office.replies[last].code == results.Code.QUEUE_DEADLINE
+
+
+def test_returns_are_spread(office: Office) -> None:
+    office.targets = []
+    waits = {office.replies[office.ask()].retry_after_ms for _ in range(20)}
+    assert len(waits) > 15
+
+
+def test_without_a_majority_nothing_is_granted(office: Office) -> None:
+    office.standing = bound.Standing(False, False, 0)
+    office.ask()
+    assert office.granted() == []
+    office.standing = bound.Standing(True, True, 0)
+    office.later(50)
+    assert len(office.granted()) == 1
+
+
+def test_a_new_home_waits_for_reports_and_counts_them(
+    office: Office,
+) -> None:
+    since_ms = office.clock.now_ms()
+    office.standing = bound.Standing(True, False, since_ms)
+    first = office.ask()
+    assert office.granted() == []
+    office.later(desk_module.REPORT_LAG_MS)
+    for number, target in enumerate(office.targets):
+        office.desk.note_report(target.name, 0 if number else 9)
+    office.later(50)
+    assert office.replies[first].target != "engine-0"
+    for _ in range(6):
+        office.ask()
+    assert all(r.target != "engine-0" for r in office.replies.values())
+
+
+def test_an_orphan_counts_for_its_target_not_for_the_mean(
+    office: Office,
+) -> None:
+    for _ in range(8):
+        office.ask()
+    held = dict(office.desk.loads())
+    office.desk.orphan("router-0", 5_000)
+    office.seq += 100
+    now_ms = office.clock.now_ms()
+    for seq in range(3):
+        office.desk.ask(
+            queue.Ask(
+                "router-1",
+                seq,
+                "bakery",
+                "gold",
+                1,
+                7,
+                0,
+                0,
+                now_ms,
+                now_ms + 5_000,
+            )
+        )
+    # The mean of the three alone is below one, so the bound is the least.
+    assert held["engine-0"] > 2
+    assert office.desk.loads() == {**held, "engine-1": 2}
+    assert office.desk.queued == 1
+    office.later(6_000)
+    assert sum(office.desk.loads().values()) == 3
+
+
+def test_a_returning_chat_goes_where_it_was(office: Office) -> None:
+    def chat(seq: int) -> desk_module.Reply:
+        now_ms = office.clock.now_ms()
+        office.desk.ask(
+            queue.Ask(
+                "router-0",
+                seq,
+                "bakery",
+                "gold",
+                1,
+                7,
+                99,
+                0,
+                now_ms,
+                now_ms + 5_000,
+            )
+        )
+        return office.replies[seq]
+
+    first = chat(1).target
+    office.finish(1)
+    away = [t for t in office.targets if t.name == first]
+    office.targets = [t for t in office.targets if t.name != first]
+    second = chat(2).target
+    office.finish(2)
+    office.targets += away
+    assert second != first
+    assert chat(3).target == second
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -34,6 +34,10 @@
     for number in range(count):
         network.ask(name, number % 2)
         network.settle(2)
+        network.clock.advance(50)
+        for other in NAMES:
+            network.maintain(other)
+        network.settle(2)
 
 
 def test_everyone_attaches_to_one_home(network) -> None:
