--- a/src/bulrushdale/fleet/members.py
+++ b/src/bulrushdale/fleet/members.py
@@ -91,9 +91,9 @@
 
     def note_lost(self, member: Member) -> None:
         """Note that the link to a router broke."""
-        if member.data_centre == self.own.data_centre:
-            if not member.draining:
-                self._lost_ms = self._clock.now_ms()
+        here = member.data_centre == self.own.data_centre
+        if here and not member.draining:
+            self._lost_ms = self._clock.now_ms()
 
     def lost_since(self, span_ms: int) -> bool:
         """Return whether a router here was lost within a time.
--- a/tests/replay.py
+++ b/tests/replay.py
@@ -87,8 +87,12 @@
         elif action == "faults":
             for name in self.names(line["name"]):
                 await self.up.faults(name, **line["set"])
+        elif action == "self_leaving":
+            await self.up.faults(line["name"], leaving=True)
+            self.marks[f"self {line['name']}"] = time.monotonic_ns()
         elif action == "restart":
             await self.up.restart(line["name"])
+            self.marks.pop(f"terminate {line['name']}", None)
         elif action == "ready":
             await self.up.wait_ready()
         elif action == "list":
--- a/tests/test_proof_catalogue.py
+++ b/tests/test_proof_catalogue.py
@@ -46,7 +46,7 @@
         async with up.session.get(
             f"{up.urls['log']}/streams/catalogue/read?from=0&limit=1"
         ) as response:
-            first = (await response.json())["first"]
+            first = (await response.json(content_type=None))["first"]
     for name in up.router_names():
         up.kill(name)
     for name in up.router_names():
