--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,4 +1,347 @@
-"""x"""
+"""Writes docs/CAPACITY.md from the newest results of the benches."""
 
+import dataclasses
+import pathlib
+import typing
 
-def write(): ...
+from bench import report
+
+PAGE = pathlib.Path(__file__).parent.parent / "docs" / "CAPACITY.md"
+
+ROUTERS = 360
+SERVERS = 2_000
+CENTRES = 7
+REQUESTS_PER_S = 10_000
+TOKENS_PER_S = 2_300_000
+TOKEN_GAP_MS = 58
+CHATS = 3_500_000
+TEAMS = 21_000
+POOLS = 4
+EDITS_PER_DAY = 1_100
+VM_CHANGES_PER_DAY = 2 * 312
+DAY_S = 86_400
+
+CPU_BUDGET_PERCENT = 4.2
+MEMORY_BUDGET_MB = 32
+BYTES_BUDGET = 8_000
+
+# Assumptions of this page, to be replaced by the users' own figures.
+ORDERS_PER_S = 300
+KEY_LIFE_S = 3_600
+TARGETS_PER_SHARD = 8
+CHANGE_BYTES = 400
+LIST_CHANGE_BYTES = 150
+BUSIEST_SHARDS = 3
+PARTITIONS = 16
+BUSIEST_PARTITIONS = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """What one role costs one router."""
+
+    role: str
+    mechanism: str
+    state: str
+    messages: str
+    bytes_per_s: float
+    cpu_percent: float
+    memory_mb: float
+
+
+class Slopes:
+    """The measured slopes, by bench and quantity."""
+
+    def __init__(self) -> None:
+        self.results = {
+            name: report.load(name)
+            for name in ("state", "peers", "relay", "streams", "machine")
+        }
+
+    def rise(self, bench: str, quantity: str) -> float:
+        """Return what one more costs."""
+        return self.results[bench]["slopes"][quantity][0]
+
+    def base(self, bench: str, quantity: str) -> float:
+        """Return what remains at none."""
+        return self.results[bench]["slopes"][quantity][1]
+
+
+def control_rows(slopes: Slopes, busiest: bool) -> list[Row]:
+    """Return the roles of control.
+
+    :param busiest: for the router with the most duties, not the mean one.
+    """
+    here = ROUTERS / CENTRES
+    rate = REQUESTS_PER_S / ROUTERS
+    shards = SERVERS / CENTRES / TARGETS_PER_SHARD
+    shard_rate = REQUESTS_PER_S / CENTRES / shards
+    homed = BUSIEST_SHARDS if busiest else shards / here
+    partitions = BUSIEST_PARTITIONS if busiest else PARTITIONS / here
+    slot_bytes = slopes.rise("relay", "control bytes/s per request/s")
+    slot_cpu = slopes.rise("relay", "home CPU % per request/s")
+    peers = here - 1
+    keys = ORDERS_PER_S * KEY_LIFE_S / PARTITIONS
+    chats = CHATS / CENTRES / shards
+    key_cpu = slopes.rise("state", "keys CPU s")
+    changes = (
+        EDITS_PER_DAY * CHANGE_BYTES + VM_CHANGES_PER_DAY * LIST_CHANGE_BYTES
+    ) / DAY_S
+    return [
+        Row(
+            "peer",
+            "one stream for each pair, heartbeat each second",
+            f"{peers:.0f} links",
+            f"{2 * peers:.0f}/s",
+            peers * slopes.rise("peers", "control_bytes_per_s"),
+            peers * max(0, slopes.rise("peers", "cpu_percent")),
+            peers * max(0, slopes.rise("peers", "rss_mb")),
+        ),
+        Row(
+            "entry: slots",
+            "one exchange with the shard's home, release batched",
+            "seats and held slots",
+            f"{rate:.0f} requests/s",
+            rate * slot_bytes,
+            rate * slot_cpu,
+            0.5,
+        ),
+        Row(
+            "home of engines",
+            "ledger and queue of a shard; memory of chats",
+            f"{homed:.1f} shards, {chats * homed:,.0f} chats",
+            f"{homed * shard_rate:.0f} requests/s",
+            homed * shard_rate * slot_bytes,
+            homed * shard_rate * slot_cpu,
+            homed * chats * slopes.rise("state", "chats bytes") / 1e6,
+        ),
+        Row(
+            "catalogue",
+            "fold by revision; teams parsed on use",
+            f"{TEAMS:,} teams",
+            f"{EDITS_PER_DAY}/day",
+            changes,
+            0.01,
+            TEAMS * slopes.rise("state", "teams bytes") / 1e6,
+        ),
+        Row(
+            "platform reader" if busiest else "platform reader (2 of 51)",
+            "two routers read log and list, pass on differences",
+            "offset and list",
+            "2 reads/s",
+            changes * peers * (1.0 if busiest else 2 / here),
+            0.3 if busiest else 0.3 * 2 / here,
+            1.0,
+        ),
+        Row(
+            "duty of claims",
+            "partition folded from the log, appends batched",
+            f"{partitions:.1f} partitions, {keys * partitions:,.0f} keys",
+            f"{partitions * ORDERS_PER_S / PARTITIONS:.0f} orders/s",
+            partitions * ORDERS_PER_S / PARTITIONS * 2 * 400 / CENTRES,
+            partitions * ORDERS_PER_S / PARTITIONS * key_cpu * 100,
+            partitions * keys * slopes.rise("state", "keys bytes") / 1e6,
+        ),
+    ]
+
+
+def _table(rows: list[Row]) -> tuple[str, Row]:
+    total = Row(
+        "**sum**",
+        "",
+        "",
+        "",
+        sum(row.bytes_per_s for row in rows),
+        sum(row.cpu_percent for row in rows),
+        sum(row.memory_mb for row in rows),
+    )
+    cells = [
+        {
+            "role": row.role,
+            "mechanism": row.mechanism,
+            "state": row.state,
+            "messages": row.messages,
+            "bytes/s": f"{row.bytes_per_s:,.0f}",
+            "CPU % of a core": f"{row.cpu_percent:.2f}",
+            "MB": f"{row.memory_mb:.1f}",
+        }
+        for row in [*rows, total]
+    ]
+    return report.table(cells), total
+
+
+def _verdict(total: Row) -> str:
+    parts = []
+    for name, value, budget in (
+        ("CPU", total.cpu_percent, CPU_BUDGET_PERCENT),
+        ("memory", total.memory_mb, MEMORY_BUDGET_MB),
+        ("bytes", total.bytes_per_s, BYTES_BUDGET),
+    ):
+        word = "holds" if value <= budget else "**breaks**"
+        parts.append(f"{name} {word} ({100 * value / budget:.0f}% of budget)")
+    return ", ".join(parts) + "."
+
+
+def _serving(slopes: Slopes) -> list[dict[str, typing.Any]]:
+    rate = REQUESTS_PER_S / ROUTERS
+    tokens = TOKENS_PER_S / ROUTERS
+    each = TOKENS_PER_S / REQUESTS_PER_S
+    streams = rate * each * TOKEN_GAP_MS / 1000
+    request_cpu = slopes.rise("relay", "CPU % per request/s at 10 tokens")
+    token_cpu = slopes.rise("relay", "CPU % per token/s")
+    request_cpu -= 10 * token_cpu
+    return [
+        {
+            "work": "requests",
+            "amount": f"{rate:.1f}/s",
+            "each": f"{request_cpu * 10_000:.0f} us",
+            "CPU % of a core": rate * request_cpu,
+            "MB": 0.0,
+        },
+        {
+            "work": "tokens",
+            "amount": f"{tokens:,.0f}/s",
+            "each": f"{token_cpu * 10_000:.1f} us",
+            "CPU % of a core": tokens * token_cpu,
+            "MB": 0.0,
+        },
+        {
+            "work": "open streams",
+            "amount": f"{streams:,.0f}",
+            "each": f"{slopes.rise('streams', 'MB per stream') * 1000:.0f} KB",
+            "CPU % of a core": 0.0,
+            "MB": streams * slopes.rise("streams", "MB per stream"),
+        },
+    ]
+
+
+def _limits(slopes: Slopes, total: Row, rows: list[Row]) -> str:
+    peers = rows[0]
+    here = ROUTERS / CENTRES - 1
+    per_peer = peers.bytes_per_s / here
+    room = BYTES_BUDGET - (total.bytes_per_s - peers.bytes_per_s)
+    most_peers = room / per_peer
+    teams = rows[3].memory_mb / TEAMS
+    spare = MEMORY_BUDGET_MB - (total.memory_mb - rows[3].memory_mb)
+    slot_cpu = slopes.rise("relay", "home CPU % per request/s")
+    other = total.cpu_percent - rows[1].cpu_percent - rows[2].cpu_percent
+    most_rate = (CPU_BUDGET_PERCENT - other) / slot_cpu
+    return "\n".join(
+        [
+            f"- Bytes: {most_peers:.0f} peers in a data centre"
+            f" ({here:.0f} at the target) fill 8 KB/s.",
+            f"- Memory: {spare / teams:,.0f} teams ({TEAMS:,} at the"
+            " target) fill 32 MB.",
+            f"- CPU: {most_rate:.0f} slot requests a second, asked and"
+            " granted together, fill 4.2% of a core.",
+        ]
+    )
+
+
+def _sources(slopes: Slopes) -> str:
+    rows = []
+    for name, result in slopes.results.items():
+        for quantity, (rise, base) in result["slopes"].items():
+            rows.append(
+                {
+                    "command": f"`{result['command']}`",
+                    "date": result["date"],
+                    "quantity": quantity,
+                    "each": float(rise),
+                    "at none": float(base),
+                    "points": _points(name, quantity),
+                }
+            )
+    return report.table(rows)
+
+
+def _points(name: str, quantity: str) -> str:
+    if name == "state":
+        kind = quantity.split()[0]
+        return {
+            "teams": "2,000 to 21,000",
+            "keys": "10,000 to 100,000",
+            "chats": "5,000 to 20,000",
+        }[kind]
+    return {
+        "peers": "1, 3, 5, 8, 11 peers",
+        "relay": "5, 10, 20, 28 requests/s",
+        "streams": "100, 250, 500, 1,000 streams",
+    }[name]
+
+
+def write() -> None:
+    """Write the page."""
+    slopes = Slopes()
+    machine = slopes.results["machine"]["rows"][0]
+    mean_rows = control_rows(slopes, busiest=False)
+    busy_rows = control_rows(slopes, busiest=True)
+    mean_table, mean = _table(mean_rows)
+    busy_table, busy = _table(busy_rows)
+    restore_s = TEAMS * slopes.rise("state", "teams restored CPU s")
+    keys = ORDERS_PER_S * KEY_LIFE_S / PARTITIONS
+    replay_s = keys * slopes.rise("state", "keys CPU s")
+    idle_mb = slopes.base("peers", "rss_mb")
+    shards = SERVERS / CENTRES / TARGETS_PER_SHARD
+    PAGE.write_text(f"""# Capacity
+
+Written by `python -m bench capacity` from `bench/results`; edit neither by
+hand. Figures are worked out for the target size from slopes measured on one
+machine ({machine["cores"]} cores, {machine["memory GB"]:.0f} GB, CPython
+{machine["python"]}). Nothing of the target's size itself was run.
+
+**Target**: {ROUTERS} routers, {SERVERS:,} servers, {CENTRES} data centres,
+{REQUESTS_PER_S:,} requests/s, {TOKENS_PER_S:,} tokens/s, {CHATS:,} chats,
+{TEAMS:,} teams, {POOLS} models, {EDITS_PER_DAY:,} edits a day. A data centre
+has {ROUTERS / CENTRES:.0f} routers and {SERVERS / CENTRES:.0f} servers.
+
+**Assumed here, for want of the users' figures**: {ORDERS_PER_S} calls a second
+that may not be repeated, keys that live {KEY_LIFE_S} s,
+{TARGETS_PER_SHARD} targets in a shard, {CHANGE_BYTES} bytes for a changed
+entry, {LIST_CHANGE_BYTES} for a changed VM.
+
+**Budget of control** for each router: {CPU_BUDGET_PERCENT}% of a core,
+{MEMORY_BUDGET_MB} MB, {BYTES_BUDGET / 1000:.0f} KB/s. The declared libraries
+alone take {machine["libraries MB"]:.0f} MB once imported, and an idle router
+without peers {idle_mb:.0f} MB, so the budget is read as what control adds to
+that. Bytes count frames on links with their gRPC and HTTP/2 headers, both
+ways, without TCP/IP; probes of engines (about 300 bytes each a second, by
+their home) and reads of the platform come on top.
+
+## Control, mean router
+
+{mean_table}
+
+{_verdict(mean)}
+
+## Control, busiest router
+
+A router that is home of {BUSIEST_SHARDS} shards, on duty for
+{BUSIEST_PARTITIONS} partitions and reads the platform.
+
+{busy_table}
+
+{_verdict(busy)}
+
+Rendezvous hashing spreads {shards:.0f} shards over
+{ROUTERS / CENTRES:.0f} routers unevenly.
+
+## Serving, beside control
+
+{report.table(_serving(slopes))}
+
+## A replaced VM
+
+Loading {TEAMS:,} teams from a snapshot takes {restore_s:.2f} s of CPU, in
+{TEAMS / 400:.0f} records. A partition of claims with {keys:,.0f} keys takes
+{replay_s:.1f} s of CPU to replay before its new duty answers. A shard whose
+home died has no grants for 1.0 to 1.25 s, one whose home hangs for 5 s.
+
+## What breaks first
+
+{_limits(slopes, busy, busy_rows)}
+
+## Slopes
+
+{_sources(slopes)}
+""")
