--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,6 +4,7 @@
 
 from bench import capacity
 from bench import fleet
+from bench import pages
 from bench import placement
 from bench import state
 
@@ -38,6 +39,12 @@
     fleet.run_relay()
 
 
+@main.command("slots")
+def run_slots() -> None:
+    """Measure what slot requests cost the home of a shard."""
+    fleet.run_slots()
+
+
 @main.command("streams")
 def run_streams() -> None:
     """Measure the memory of 100 to 1,000 open streams."""
@@ -56,5 +63,11 @@
     capacity.write()
 
 
+@main.command("pages")
+def run_pages() -> None:
+    """Write docs/BENCHES.md from the newest results."""
+    pages.write()
+
+
 if __name__ == "__main__":
     main()
--- a/src/bulrushdale/admission/desk.py
+++ b/src/bulrushdale/admission/desk.py
@@ -8,6 +8,7 @@
 
 from bulrushdale.admission import bound
 from bulrushdale.admission import choice
+from bulrushdale.admission import ledger
 from bulrushdale.admission import queue
 from bulrushdale.catalogue import entries
 from bulrushdale import clock as clock_module
@@ -21,10 +22,6 @@
 MOST_RETRY_MS = 60_000
 # Slots kept free for teams that are below their share.
 RESERVE_SHARE = 0.1
-# A report may be as old as this when it arrives.
-REPORT_LAG_MS = 1_000
-# So long a request may be under way to its target after its grant.
-ARRIVAL_MS = 40
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,20 +44,34 @@
     waited_ms: int = 0
 
 
-@dataclasses.dataclass(slots=True)
-class Slot:
-    """A granted slot.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where a request may start.
 
-    :param target: where.
-    :param team: whose.
-    :param tokens: estimated prompt and answer tokens.
-    :param since_ms: when it was granted, in ms.
+    :param target: the target.
+    :param reason: why it was chosen.
+    :param bound: its bound.
+    :param near: whether the request's cache is there, or it has none yet.
     """
 
     target: str
-    team: str
-    tokens: int
-    since_ms: int
+    reason: choice.Reason
+    bound: int
+    near: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Room:
+    """What is free on a shard's targets.
+
+    :param loads: the load of each.
+    :param bounds: the bound of each that may get work.
+    :param free: those below their bound.
+    """
+
+    loads: dict[str, int]
+    bounds: dict[str, int]
+    free: list[str]
 
 
 Answer = typing.Callable[[queue.Ask, Reply], None]
@@ -68,6 +79,7 @@
     [int, str | None, list[str], list[str], dict[str, int]],
     tuple[str, choice.Reason],
 ]
+Targets = list[targets_module.Target]
 
 
 class Desk:
@@ -97,28 +109,15 @@
         "_clock",
         "_rng",
         "_choose",
-        "_slots",
-        "_load",
-        "_foreign",
-        "_unknown",
-        "_since_ms",
-        "_history",
-        "_tokens",
-        "_teams",
+        "_ledger",
         "_queue",
         "_chats",
         "_hold_ms",
-        "_orphans",
-        "_young",
-        "_young_slots",
-        "_recent",
-        "_orphaned",
-        "granted",
     )
 
     def __init__(
         self,
-        usable: typing.Callable[[], list[targets_module.Target]],
+        usable: typing.Callable[[], Targets],
         promise: typing.Callable[[], entries.Promise],
         team_limits: typing.Callable[[str], tuple[int, int]],
         ramp: typing.Callable[[targets_module.Target], float],
@@ -137,41 +136,31 @@
         self._clock = clock
         self._rng = rng
         self._choose = choose
-        self._slots: dict[tuple[str, int], Slot] = {}
-        self._load: collections.Counter[str] = collections.Counter()
-        self._foreign: dict[str, int] = {}
-        self._unknown: dict[str, int] = {}
-        self._since_ms = -1
-        self._history: dict[str, _History] = {}
-        self._tokens: collections.Counter[str] = collections.Counter()
-        self._teams: collections.Counter[str] = collections.Counter()
+        self._ledger = ledger.Ledger(clock)
         self._queue = queue.WeightedQueue()
         self._chats: collections.OrderedDict[int, str] = (
             collections.OrderedDict()
         )
         self._hold_ms = FIRST_HOLD_MS
-        self._orphans: dict[str, int] = {}
-        self._young: collections.Counter[str] = collections.Counter()
-        self._young_slots: dict[tuple[str, int], str] = {}
-        self._recent: collections.deque[tuple[tuple[str, int], int]] = (
-            collections.deque()
-        )
-        self._orphaned: collections.Counter[str] = collections.Counter()
-        self.granted = 0
 
     @property
-    def in_flight(self) -> int:
+    def slots(self) -> ledger.Ledger:
         """The slots granted and not released."""
-        return len(self._slots)
+        return self._ledger
+
+    @property
+    def in_flight(self) -> int:
+        """How many slots are granted and not released."""
+        return len(self._ledger)
 
     @property
     def queued(self) -> int:
-        """The requests that wait."""
+        """How many requests wait."""
         return len(self._queue)
 
-    def load(self, target: str) -> int:
-        """Return the load that counts against a target's bound."""
-        return self._load[target] + self._foreign.get(target, 0)
+    def loads(self) -> dict[str, int]:
+        """Return the load of each target that has any."""
+        return self._ledger.loads()
 
     def ask(self, ask: queue.Ask) -> None:
         """Grant a slot, queue the request, or refuse it at once.
@@ -180,47 +169,38 @@
         have started; so a request that can start takes no one's turn but
         its own team's.
         """
-        if (ask.router, ask.seq) in self._slots:
-            self._drop((ask.router, ask.seq))
+        self._ledger.drop((ask.router, ask.seq))
         targets = self._usable()
         if not targets:
             self._refuse(ask, results.Code.NO_TARGET, FIRST_HOLD_MS)
             return
         if not self._queue.queued(ask.team):
-            chosen = self._place(ask, targets)
-            if chosen is not None:
-                self._grant(ask, *chosen)
+            place = self._place(ask, targets)
+            if place is not None:
+                self._grant(ask, place)
                 return
         self._enqueue(ask, targets)
 
-    def _enqueue(
-        self, ask: queue.Ask, targets: list[targets_module.Target]
-    ) -> None:
+    def _enqueue(self, ask: queue.Ask, targets: Targets) -> None:
         _, most_queued = self._team_limits(ask.team)
         wait_ms = self._wait_ms(ask, targets)
         if self._queue.queued(ask.team) >= most_queued:
             self._refuse(ask, results.Code.TEAM_LIMIT, wait_ms)
-            return
-        if self._clock.now_ms() + wait_ms > ask.deadline_ms:
+        elif self._clock.now_ms() + wait_ms > ask.deadline_ms:
             self._refuse(ask, results.Code.QUEUE_FULL, wait_ms)
-            return
-        self._queue.push(ask)
+        else:
+            self._queue.push(ask)
 
-    def _wait_ms(
-        self, ask: queue.Ask, targets: list[targets_module.Target]
-    ) -> float:
+    def _wait_ms(self, ask: queue.Ask, targets: Targets) -> float:
         """Estimate how long a new request would wait (Little's law)."""
         ahead = self._queue.ahead(ask.team, ask.weight)
-        running = self._capacity(targets)
+        running = _capacity(targets)
         limit, _ = self._team_limits(ask.team)
-        if self._teams[ask.team] >= limit:
+        if self._ledger.of_team(ask.team) >= limit:
             running = min(running, limit)
             ahead = float(self._queue.queued(ask.team))
         return (ahead + 1) * self._hold_ms / running
 
-    def _capacity(self, targets: list[targets_module.Target]) -> int:
-        return sum(target.slots for target in targets)
-
     def _refuse(
         self, ask: queue.Ask, code: results.Code, wait_ms: float
     ) -> None:
@@ -241,122 +221,90 @@
             limit = max(1, math.floor(limit * ramp))
         return min(limit, target.slots)
 
-    def _place(
-        self, ask: queue.Ask, targets: list[targets_module.Target]
-    ) -> tuple[str, choice.Reason, int] | None:
-        """Return the target, the reason and the bound, or none."""
-        if not self._team_may_start(ask.team, targets):
-            return None
-        self._age_grants()
+    def _place(self, ask: queue.Ask, targets: Targets) -> Place | None:
+        """Return where a request may start now, if anywhere."""
+        return self._place_in(ask, targets, self._room(targets))
+
+    def _room(self, targets: Targets) -> Room:
+        """Return the load and the bound of each target now."""
+        self._ledger.age()
         standing = self._standing()
         if not standing.majority:
-            return None
-        self._follow(standing)
+            return Room({}, {}, [])
+        self._ledger.follow(standing)
         loads = {
-            target.name: self._load_with(target.name, standing)
+            target.name: self._ledger.most_load(target.name, standing)
             for target in targets
         }
         # The mean counts only what is certain, a target's load whatever
         # may be there: neither error lets the bound be passed.
-        certain = (self._certain(t.name, standing) for t in targets)
-        total = sum(certain) + 1
+        total = 1 + sum(
+            self._ledger.certain_load(target.name, standing)
+            for target in targets
+        )
         bounds = {
             target.name: self._bound(target, total, len(targets))
             for target in targets
-            if standing.complete or target.name in self._unknown
+            if self._ledger.reported(target.name, standing)
         }
-        free = [
-            name
-            for name, limit in bounds.items()
-            if loads[name] < limit and name not in ask.excluded
-        ]
-        if not free:
+        free = [name for name, limit in bounds.items() if loads[name] < limit]
+        return Room(loads, bounds, free)
+
+    def _place_in(
+        self, ask: queue.Ask, targets: Targets, room: Room
+    ) -> Place | None:
+        free = room.free
+        if ask.excluded:
+            free = [name for name in free if name not in ask.excluded]
+        if not free or not self._team_may_start(ask.team, targets):
             return None
         chat_target = self._chats.get(ask.chat) if ask.chat else None
         name, reason = self._choose(
-            ask.affinity, chat_target, free, list(bounds), loads
+            ask.affinity, chat_target, free, list(room.bounds), room.loads
         )
-        return name, reason, bounds[name]
-
-    def _certain(self, name: str, standing: bound.Standing) -> int:
-        """Return how much surely runs on a target.
-
-        A request that was granted a moment ago may not have arrived, and
-        the answers of a lost router may have ended. While routers are
-        missing, what a target reported beside its grants is theirs and
-        may have ended too.
-        """
-        sure = self._load[name] - self._orphaned[name] - self._young[name]
-        beside = self._foreign.get(name, 0) if standing.complete else 0
-        return max(0, sure) + beside
-
-    def _age_grants(self) -> None:
-        """Count the requests as arrived that were granted long enough ago."""
-        before_ms = self._clock.now_ms() - ARRIVAL_MS
-        while self._recent and self._recent[0][1] <= before_ms:
-            key, since_ms = self._recent.popleft()
-            slot = self._slots.get(key)
-            if slot is not None and slot.since_ms == since_ms:
-                self._arrived(key)
-
-    def _arrived(self, key: tuple[str, int]) -> None:
-        """Count a request as arrived, or as gone."""
-        target = self._young_slots.pop(key, None)
-        if target is not None:
-            _decrease(self._young, target, 1)
-
-    def _load_with(self, name: str, standing: bound.Standing) -> int:
-        """Return a target's load, with what others may have granted."""
-        if standing.complete:
-            return self.load(name)
-        return self._load[name] + self._unknown.get(name, 0)
-
-    def _follow(self, standing: bound.Standing) -> None:
-        """Forget what was known beside the ledger in an earlier tenure."""
-        if standing.since_ms != self._since_ms:
-            self._since_ms = standing.since_ms
-            self._unknown.clear()
+        new_and_near = chat_target is None and reason == choice.Reason.PREFIX
+        near = reason == choice.Reason.CHAT or new_and_near
+        return Place(name, reason, room.bounds[name], near)
 
     def unsettled(self) -> bool:
         """Return whether reports may still show more room on targets."""
         standing = self._standing()
         if standing.complete or not standing.majority:
             return False
-        self._follow(standing)
-        return any(
-            self._unknown.get(target.name, 1) for target in self._usable()
+        self._ledger.follow(standing)
+        return not all(
+            self._ledger.settled(target.name) for target in self._usable()
         )
 
-    def _team_may_start(
-        self, team: str, targets: list[targets_module.Target]
-    ) -> bool:
-        running = self._teams[team]
+    def _team_may_start(self, team: str, targets: Targets) -> bool:
+        running = self._ledger.of_team(team)
         limit, _ = self._team_limits(team)
         if running >= limit:
             return False
-        capacity = self._capacity(targets)
+        capacity = _capacity(targets)
         if running < self._promise().team_share * capacity:
             return True
         reserve = math.ceil(RESERVE_SHARE * capacity)
         return capacity - self.in_flight > reserve
 
-    def _grant(
-        self, ask: queue.Ask, name: str, reason: choice.Reason, limit: int
-    ) -> None:
-        slot = Slot(name, ask.team, ask.tokens, self._clock.now_ms())
-        self._add((ask.router, ask.seq), slot)
-        self._young[name] += 1
-        self._young_slots[(ask.router, ask.seq)] = name
-        self._recent.append(((ask.router, ask.seq), slot.since_ms))
+    def _grant(self, ask: queue.Ask, place: Place) -> None:
+        now_ms = self._clock.now_ms()
+        self._ledger.grant(
+            (ask.router, ask.seq),
+            ledger.Slot(place.target, ask.team, ask.tokens, now_ms),
+        )
         self._queue.charge(ask.team, ask.weight)
         if ask.chat:
-            self._remember(ask.chat, name)
-        self.granted += 1
-        waited_ms = self._clock.now_ms() - ask.asked_ms
-        self._answer(
-            ask,
-            Reply(results.Code.OK, name, 0, reason, limit, waited_ms),
+            self._remember(ask.chat, place.target)
+        reply = Reply(
+            results.Code.OK,
+            place.target,
+            0,
+            place.reason,
+            place.bound,
+            now_ms - ask.asked_ms,
         )
+        self._answer(ask, reply)
 
     def _remember(self, chat: int, name: str) -> None:
         self._chats[chat] = name
@@ -364,29 +312,15 @@
         if len(self._chats) > CHAT_MEMORY:
             self._chats.popitem(last=False)
 
-    def _add(self, key: tuple[str, int], slot: Slot) -> None:
-        if key in self._slots:
-            return
-        self._slots[key] = slot
-        self._load[slot.target] += 1
-        self._tokens[slot.target] += slot.tokens
-        self._teams[slot.team] += 1
-        self._note_load(slot.target)
-
-    def _drop(self, key: tuple[str, int]) -> Slot | None:
-        slot = self._slots.pop(key, None)
-        if slot is None:
-            return None
-        _decrease(self._load, slot.target, 1)
-        self._arrived(key)
-        self._note_load(slot.target)
-        _decrease(self._tokens, slot.target, slot.tokens)
-        _decrease(self._teams, slot.team, 1)
-        return slot
+    def knows(self, router: str, seq: int) -> bool:
+        """Return whether a slot is held or waited for here."""
+        return (router, seq) in self._ledger or self._queue.contains(
+            router, seq
+        )
 
     def release(self, router: str, seq: int) -> None:
         """Take back a slot, or a request that still waits."""
-        slot = self._drop((router, seq))
+        slot = self._ledger.drop((router, seq))
         if slot is None:
             self._queue.remove(
                 lambda ask: ask.router == router and ask.seq == seq
@@ -403,8 +337,8 @@
         :param target: where it runs.
         """
         now_ms = self._clock.now_ms()
-        slot = Slot(target, ask.team, ask.tokens, now_ms)
-        self._add((ask.router, ask.seq), slot)
+        slot = ledger.Slot(target, ask.team, ask.tokens, now_ms)
+        self._ledger.add((ask.router, ask.seq), slot)
         self._answer(
             ask,
             Reply(results.Code.OK, target, reason=choice.Reason.RESUME),
@@ -418,25 +352,21 @@
         :param router: the router that is now attached here.
         :param held: number, target, team and tokens of each slot.
         """
-        self._orphans.pop(router, None)
-        self._count_orphans()
-        self._queue.remove(lambda ask: ask.router == router)
-        known = {key for key in self._slots if key[0] == router}
+        self._remove_queued(router)
         now_ms = self._clock.now_ms()
-        for seq, target, team, tokens in held:
-            self._add((router, seq), Slot(target, team, tokens, now_ms))
-            known.discard((router, seq))
-        for key in known:
-            self._drop(key)
+        self._ledger.replace(
+            router,
+            {
+                seq: ledger.Slot(target, team, tokens, now_ms)
+                for seq, target, team, tokens in held
+            },
+        )
         self._drain()
 
     def detach(self, router: str) -> None:
         """Forget a router that has gone to another home."""
-        self._queue.remove(lambda ask: ask.router == router)
-        for key in [key for key in self._slots if key[0] == router]:
-            self._drop(key)
-        self._orphans.pop(router, None)
-        self._count_orphans()
+        self._remove_queued(router)
+        self._ledger.forget(router)
         self._drain()
 
     def orphan(self, router: str, hold_ms: int) -> None:
@@ -445,122 +375,45 @@
         :param router: the router that can't be reached any more.
         :param hold_ms: how long, in ms.
         """
-        self._queue.remove(lambda ask: ask.router == router)
-        self._orphans[router] = self._clock.now_ms() + hold_ms
-        self._count_orphans()
-
-    def _expire_orphans(self, router: str) -> None:
-        """Drop a lost router's slots; some may run until a report shows."""
-        for (holder, _), slot in self._slots.items():
-            if holder == router and slot.target in self._unknown:
-                self._unknown[slot.target] += 1
-        self.detach(router)
-
-    def _count_orphans(self) -> None:
-        self._orphaned = collections.Counter(
-            slot.target
-            for (router, _), slot in self._slots.items()
-            if router in self._orphans
-        )
+        self._remove_queued(router)
+        self._ledger.orphan(router, self._clock.now_ms() + hold_ms)
 
-    def _note_load(self, target: str) -> None:
-        """Keep what was granted on a target lately."""
-        history = self._history.get(target)
-        if history is None:
-            history = self._history[target] = _History()
-        history.note(self._clock.now_ms(), self._load[target])
+    def _remove_queued(self, router: str) -> None:
+        self._queue.remove(lambda ask: ask.router == router)
 
     def note_report(self, target: str, running: int) -> None:
-        """Compare what a target reports with what was granted here.
-
-        A report lags, so it is compared with the most and the least that
-        was granted within the lag: the first tells what
-        certainly runs beside, the second what may run beside. Nobody else
-        grants while this home has the majority, so the second only falls.
+        """Take over what a target reports of its load.
 
         :param target: the target that was probed.
         :param running: what it says is running.
         """
-        self._note_load(target)
-        history = self._history[target]
-        self._foreign[target] = max(0, running - history.most())
-        standing = self._standing()
-        self._follow(standing)
-        age_ms = self._clock.now_ms() - standing.since_ms
-        if standing.majority and age_ms >= REPORT_LAG_MS:
-            most = self._unknown.get(target, running)
-            beside = max(0, running - history.least())
-            self._unknown[target] = min(most, beside)
+        self._ledger.note_report(target, running, self._standing())
 
     def tick(self) -> None:
         """Refuse what has waited too long and start what may start."""
+        if self._ledger.expire_orphans():
+            self._drain()
         now_ms = self._clock.now_ms()
-        for router, until_ms in list(self._orphans.items()):
-            if now_ms >= until_ms:
-                self._expire_orphans(router)
         for ask in self._queue.remove(lambda a: a.deadline_ms <= now_ms):
             self._refuse(ask, results.Code.QUEUE_DEADLINE, self._hold_ms)
         self._drain()
 
     def _drain(self) -> None:
         """Grant to those who wait, for as long as one may start."""
-        while len(self._queue):
-            targets = self._usable()
-            found: list[tuple[str, choice.Reason, int]] = []
-
-            def may_start(
-                ask: queue.Ask,
-                targets: list[targets_module.Target] = targets,
-                found: list[tuple[str, choice.Reason, int]] = found,
-            ) -> bool:
-                chosen = self._place(ask, targets) if targets else None
-                if chosen is not None:
-                    found.append(chosen)
-                return chosen is not None
-
-            ask = self._queue.take(may_start)
-            if ask is None:
+        targets = self._usable() if len(self._queue) else []
+        while targets and len(self._queue):
+            room = self._room(targets)
+            if not room.free:
                 return
-            self._grant(ask, *found[0])
-
-    def loads(self) -> dict[str, int]:
-        """Return the load of each target that has any."""
-        names = set(self._load) | set(self._foreign)
-        return {name: self.load(name) for name in sorted(names)}
-
-    def holders(self) -> collections.Counter[str]:
-        """Return how many slots each router holds."""
-        return collections.Counter(router for router, _ in self._slots)
 
+            def place(ask: queue.Ask, room: Room = room) -> Place | None:
+                return self._place_in(ask, targets, room)
 
-class _History:
-    """The values that a number had within the lag of a report."""
-
-    __slots__ = ("_values",)
-
-    def __init__(self) -> None:
-        self._values: collections.deque[tuple[int, int]] = collections.deque()
-
-    def note(self, now_ms: int, value: int) -> None:
-        """Add the present value."""
-        self._values.append((now_ms, value))
-        # The newest value from before the span is still one of its values.
-        while (
-            len(self._values) > 1
-            and self._values[1][0] <= now_ms - REPORT_LAG_MS
-        ):
-            self._values.popleft()
-
-    def least(self) -> int:
-        return min(value for _, value in self._values)
-
-    def most(self) -> int:
-        return max(value for _, value in self._values)
+            taken = self._queue.take(place, lambda found: found.near)
+            if taken is None:
+                return
+            self._grant(*taken)
 
 
-def _decrease(
-    counter: "collections.Counter[str]", key: str, amount: int
-) -> None:
-    counter[key] -= amount
-    if counter[key] <= 0:
-        del counter[key]
+def _capacity(targets: Targets) -> int:
+    return sum(target.slots for target in targets)
--- a/src/bulrushdale/admission/desks.py
+++ b/src/bulrushdale/admission/desks.py
@@ -7,21 +7,25 @@
 from bulrushdale.admission import bound
 from bulrushdale.admission import desk as desk_module
 from bulrushdale.admission import queue
+from bulrushdale.admission import seat as seat_module
 from bulrushdale.catalogue import view as view_module
 from bulrushdale import clock as clock_module
 from bulrushdale.control import control_pb2 as pb
 from bulrushdale.fleet import links as links_module
 from bulrushdale.fleet import members as members_module
 from bulrushdale.fleet import targets as targets_module
+from bulrushdale import hashing
 
 # How long an engine lets an answer run on whose reader is gone.
 DEAD_HOLD_MS = 5_000
 CUT_HOLD_MS = 20_000
+STANDING_MS = 5
 # For so long a lost router may have left answers that nobody holds.
 ORPHAN_MEMORY_MS = 20_000
 
-ShardKey = tuple[str, int]
-AnswerOwn = typing.Callable[[ShardKey, queue.Ask, desk_module.Reply], None]
+AnswerOwn = typing.Callable[
+    [seat_module.ShardKey, queue.Ask, desk_module.Reply], None
+]
 
 
 class Desks:
@@ -61,11 +65,16 @@
         self._lease_ms = lease_ms
         self._answer_own = answer_own
         self._rng = rng
-        self._desks: dict[ShardKey, desk_module.Desk] = {}
-        self._attached: dict[ShardKey, set[str]] = collections.defaultdict(set)
-        self._since_ms: dict[ShardKey, int] = {}
+        self._desks: dict[seat_module.ShardKey, desk_module.Desk] = {}
+        self._attached: dict[seat_module.ShardKey, set[str]] = (
+            collections.defaultdict(set)
+        )
+        self._standings: dict[
+            seat_module.ShardKey, tuple[int, bound.Standing]
+        ] = {}
+        self._since_ms: dict[seat_module.ShardKey, int] = {}
 
-    def desk(self, key: ShardKey) -> desk_module.Desk:
+    def desk(self, key: seat_module.ShardKey) -> desk_module.Desk:
         """Return the desk of a shard, opening it if need be."""
         found = self._desks.get(key)
         if found is None:
@@ -73,7 +82,7 @@
             self._desks[key] = found
         return found
 
-    def _open(self, key: ShardKey) -> desk_module.Desk:
+    def _open(self, key: seat_module.ShardKey) -> desk_module.Desk:
         pool, shard = key
         return desk_module.Desk(
             usable=lambda: self._targets.of_shard(pool, shard),
@@ -94,8 +103,21 @@
         in_flight = max(1, team.max_in_flight // shards)
         return in_flight, max(1, team.max_queued // shards)
 
-    def standing(self, key: ShardKey) -> bound.Standing:
-        """Return what this router may rely on as the home of a shard."""
+    def standing(self, key: seat_module.ShardKey) -> bound.Standing:
+        """Return what this router may rely on as the home of a shard.
+
+        It is worked out anew every few ms, which is far less than any
+        lease leaves.
+        """
+        now_ms = self._clock.now_ms()
+        known = self._standings.get(key)
+        if known is not None and known[0] == now_ms // STANDING_MS:
+            return known[1]
+        standing = self._work_out(key)
+        self._standings[key] = (now_ms // STANDING_MS, standing)
+        return standing
+
+    def _work_out(self, key: seat_module.ShardKey) -> bound.Standing:
         attached = {r for r in self._attached[key] if self._lease_holds(r)}
         everyone = attached.union(self._members.share_names())
         settled = not self._members.lost_since(ORPHAN_MEMORY_MS)
@@ -105,7 +127,7 @@
             self._since_ms.get(key, 0),
         )
 
-    def grants(self, key: ShardKey) -> bool:
+    def grants(self, key: seat_module.ShardKey) -> bool:
         """Return whether this router may grant slots of a shard."""
         return self.standing(key).majority
 
@@ -118,7 +140,10 @@
         return self._clock.now_ms() - link.echo_ms < self._lease_ms
 
     def _answer(
-        self, key: ShardKey, ask: queue.Ask, reply: desk_module.Reply
+        self,
+        key: seat_module.ShardKey,
+        ask: queue.Ask,
+        reply: desk_module.Reply,
     ) -> None:
         if ask.router == self._own:
             self._answer_own(key, ask, reply)
@@ -129,28 +154,28 @@
         link.queue().slot_replies.add(
             seq=ask.seq,
             code=int(reply.code),
-            target=reply.target,
+            target=hashing.name_hash(reply.target) if reply.target else 0,
             retry_after_ms=reply.retry_after_ms,
             reason=int(reply.reason),
             bound=reply.bound,
             waited_ms=self._clock.now_ms() - ask.asked_ms,
-            pool=key[0],
-            shard=key[1],
         )
 
     def attach(
-        self, key: ShardKey, router: str, held: list[pb.HeldSlot]
+        self, key: seat_module.ShardKey, router: str, held: list[pb.HeldSlot]
     ) -> None:
         """Take a router on, with the slots that it holds."""
         if not self._attached[key]:
             self._since_ms[key] = self._clock.now_ms()
         self._attached[key].add(router)
+        self._standings.pop(key, None)
         slots = [(h.seq, h.target, h.team, h.tokens) for h in held]
         self.desk(key).attach(router, slots)
 
-    def detach(self, key: ShardKey, router: str) -> None:
+    def detach(self, key: seat_module.ShardKey, router: str) -> None:
         """Let a router go to another home."""
         self._attached[key].discard(router)
+        self._standings.pop(key, None)
         self.desk(key).detach(router)
 
     def ask(self, request: pb.SlotRequest, router: str) -> None:
@@ -158,30 +183,45 @@
         key = (request.pool, request.shard)
         if router not in self._attached[key]:
             return
+        ask = self._read(request, router)
+        for name in ask.excluded:
+            self._targets.note_failure(name)
+        if request.resumed:
+            self.desk(key).resume(ask, request.resumed)
+        else:
+            self.desk(key).ask(ask)
+
+    def _read(self, request: pb.SlotRequest, router: str) -> queue.Ask:
+        """Return a request with what its router left to the catalogue."""
+        name = request.service_class
+        if not name:
+            team = self._view.team(request.team)
+            name = team.class_of_service if team is not None else ""
+        paid = self._view.service_class(name)
         now_ms = self._clock.now_ms()
-        ask = queue.Ask(
+        chat = request.chat
+        if request.chat_is_affinity:
+            chat = request.affinity
+        return queue.Ask(
             router,
             request.seq,
             request.team,
-            request.service_class,
-            max(1, request.weight),
+            name,
+            paid.weight,
             request.affinity,
-            request.chat,
+            chat,
             request.tokens,
             now_ms,
-            now_ms + request.wait_ms,
+            now_ms + (request.wait_ms or paid.queue_ms),
             tuple(request.excluded),
         )
-        for name in ask.excluded:
-            self._targets.note_failure(name)
-        if request.resumed:
-            self.desk(key).resume(ask, request.resumed)
-        else:
-            self.desk(key).ask(ask)
 
-    def release(self, key: ShardKey, router: str, seq: int) -> None:
-        """Take back a slot."""
-        self.desk(key).release(router, seq)
+    def release(self, router: str, seq: int) -> None:
+        """Take back a slot, or a request that still waits."""
+        for desk in self._desks.values():
+            if desk.knows(router, seq):
+                desk.release(router, seq)
+                return
 
     def lost(self, router: str) -> None:
         """Keep a lost router's slots for as long as they may run."""
@@ -189,21 +229,26 @@
             if router not in attached:
                 continue
             attached.discard(router)
+            self._standings.pop(key, None)
             member = self._members.get(router)
             dead = member is None or member.refused
             hold_ms = DEAD_HOLD_MS if dead else CUT_HOLD_MS
             self.desk(key).orphan(router, hold_ms)
 
+    def queued(self) -> int:
+        """Return how many requests wait on all desks."""
+        return sum(desk.queued for desk in self._desks.values())
+
     def tick(self) -> None:
         """Let time pass on every desk."""
         for desk in self._desks.values():
             desk.tick()
 
-    def attached(self, key: ShardKey) -> set[str]:
+    def attached(self, key: seat_module.ShardKey) -> set[str]:
         """Return the routers that are attached to a desk."""
         return set(self._attached[key])
 
-    def active(self) -> list[ShardKey]:
+    def active(self) -> list[seat_module.ShardKey]:
         """Return the shards for which some router is attached here."""
         return [key for key, routers in self._attached.items() if routers]
 
--- /dev/null
+++ b/src/bulrushdale/admission/ledger.py
@@ -0,0 +1,295 @@
+"""The slots of one shard, and the load that they put on each target."""
+
+import collections
+from collections import abc
+import dataclasses
+
+from bulrushdale.admission import bound
+from bulrushdale import clock as clock_module
+
+# A report may be as old as this when it arrives.
+REPORT_LAG_MS = 1_000
+# So long a request may be under way to its target after its grant.
+ARRIVAL_MS = 40
+
+SlotKey = tuple[str, int]
+
+
+@dataclasses.dataclass(slots=True)
+class Slot:
+    """A granted slot.
+
+    :param target: where.
+    :param team: whose.
+    :param tokens: estimated prompt and answer tokens.
+    :param since_ms: when it was granted, in ms.
+    """
+
+    target: str
+    team: str
+    tokens: int
+    since_ms: int
+
+
+class History:
+    """The values that a number had within the lag of a report."""
+
+    __slots__ = ("_values",)
+
+    def __init__(self) -> None:
+        self._values: collections.deque[tuple[int, int]] = collections.deque()
+
+    def note(self, now_ms: int, value: int) -> None:
+        """Add the present value."""
+        self._values.append((now_ms, value))
+        # The newest value from before the span is still one of its values.
+        while (
+            len(self._values) > 1
+            and self._values[1][0] <= now_ms - REPORT_LAG_MS
+        ):
+            self._values.popleft()
+
+    def least(self) -> int:
+        """Return the least value within the lag."""
+        return min(value for _, value in self._values)
+
+    def most(self) -> int:
+        """Return the greatest value within the lag."""
+        return max(value for _, value in self._values)
+
+
+class Ledger:
+    """Slots by holder, and what is known to run beside them.
+
+    :param clock: the clock.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = (
+        "_clock",
+        "_slots",
+        "_load",
+        "_tokens",
+        "_teams",
+        "_young",
+        "_young_slots",
+        "_recent",
+        "_lost",
+        "_orphaned",
+        "_history",
+        "_foreign",
+        "_unknown",
+        "_since_ms",
+    )
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        self._slots: dict[SlotKey, Slot] = {}
+        self._load: collections.Counter[str] = collections.Counter()
+        self._tokens: collections.Counter[str] = collections.Counter()
+        self._teams: collections.Counter[str] = collections.Counter()
+        self._young: collections.Counter[str] = collections.Counter()
+        self._young_slots: dict[SlotKey, str] = {}
+        self._recent: collections.deque[tuple[SlotKey, int]] = (
+            collections.deque()
+        )
+        self._lost: dict[str, int] = {}
+        self._orphaned: collections.Counter[str] = collections.Counter()
+        self._history: dict[str, History] = {}
+        self._foreign: dict[str, int] = {}
+        self._unknown: dict[str, int] = {}
+        self._since_ms = -1
+
+    def __len__(self) -> int:
+        return len(self._slots)
+
+    def __contains__(self, key: SlotKey) -> bool:
+        return key in self._slots
+
+    def slots(self) -> abc.ItemsView[SlotKey, Slot]:
+        """Return every slot with its holder and number."""
+        return self._slots.items()
+
+    def of_team(self, team: str) -> int:
+        """Return how many slots a team holds."""
+        return self._teams[team]
+
+    def load(self, target: str) -> int:
+        """Return a target's load, with what certainly runs beside."""
+        return self._load[target] + self._foreign.get(target, 0)
+
+    def loads(self) -> dict[str, int]:
+        """Return the load of each target that has any."""
+        names = {n for n, count in self._foreign.items() if count}
+        names.update(self._load)
+        return {name: self.load(name) for name in sorted(names)}
+
+    def most_load(self, target: str, standing: bound.Standing) -> int:
+        """Return the most that may run on a target."""
+        if standing.complete:
+            return self.load(target)
+        return self._load[target] + self._unknown.get(target, 0)
+
+    def certain_load(self, target: str, standing: bound.Standing) -> int:
+        """Return how much surely runs on a target.
+
+        A request that was granted a moment ago may not have arrived, and
+        the answers of a lost router may have ended. While routers are
+        missing, what a target reported beside its grants is theirs and
+        may have ended too.
+        """
+        own = self._load[target]
+        sure = own - self._orphaned[target] - self._young[target]
+        beside = self._foreign.get(target, 0) if standing.complete else 0
+        return max(0, sure) + beside
+
+    def reported(self, target: str, standing: bound.Standing) -> bool:
+        """Return whether it is known what may run on a target."""
+        return standing.complete or target in self._unknown
+
+    def settled(self, target: str) -> bool:
+        """Return whether nothing unknown may run on a target."""
+        return self._unknown.get(target) == 0
+
+    def follow(self, standing: bound.Standing) -> None:
+        """Forget what was known beside the slots in an earlier tenure."""
+        if standing.since_ms != self._since_ms:
+            self._since_ms = standing.since_ms
+            self._unknown.clear()
+
+    def grant(self, key: SlotKey, slot: Slot) -> None:
+        """Add a slot whose request has yet to arrive at its target."""
+        self.add(key, slot)
+        self._young[slot.target] += 1
+        self._young_slots[key] = slot.target
+        self._recent.append((key, slot.since_ms))
+
+    def add(self, key: SlotKey, slot: Slot) -> None:
+        """Add a slot whose request runs already; a known one stays."""
+        if key in self._slots:
+            return
+        self._slots[key] = slot
+        self._load[slot.target] += 1
+        self._tokens[slot.target] += slot.tokens
+        self._teams[slot.team] += 1
+        self._note_load(slot.target)
+
+    def drop(self, key: SlotKey) -> Slot | None:
+        """Remove a slot and return it, if it was there."""
+        slot = self._slots.pop(key, None)
+        if slot is None:
+            return None
+        _decrease(self._load, slot.target, 1)
+        _decrease(self._tokens, slot.target, slot.tokens)
+        _decrease(self._teams, slot.team, 1)
+        self._note_load(slot.target)
+        self._arrived(key)
+        return slot
+
+    def age(self) -> None:
+        """Count the requests as arrived that were granted long enough ago."""
+        before_ms = self._clock.now_ms() - ARRIVAL_MS
+        while self._recent and self._recent[0][1] <= before_ms:
+            key, since_ms = self._recent.popleft()
+            slot = self._slots.get(key)
+            if slot is not None and slot.since_ms == since_ms:
+                self._arrived(key)
+
+    def _arrived(self, key: SlotKey) -> None:
+        """Count a request as arrived, or as gone."""
+        target = self._young_slots.pop(key, None)
+        if target is not None:
+            _decrease(self._young, target, 1)
+
+    def replace(self, router: str, held: dict[int, Slot]) -> None:
+        """Take a router's own word for what it holds.
+
+        :param router: the router.
+        :param held: its slots by number.
+        """
+        self._lost.pop(router, None)
+        self._count_orphans()
+        known = {key for key in self._slots if key[0] == router}
+        for seq, slot in held.items():
+            self.add((router, seq), slot)
+            known.discard((router, seq))
+        for key in known:
+            self.drop(key)
+
+    def forget(self, router: str) -> None:
+        """Drop all slots of a router."""
+        for key in [key for key in self._slots if key[0] == router]:
+            self.drop(key)
+        self._lost.pop(router, None)
+        self._count_orphans()
+
+    def orphan(self, router: str, until_ms: int) -> None:
+        """Keep a lost router's slots until a time, in ms."""
+        self._lost[router] = until_ms
+        self._count_orphans()
+
+    def expire_orphans(self) -> bool:
+        """Drop the slots of lost routers whose time is over.
+
+        Some of them may run on until a report shows that they don't.
+
+        :return: whether any were dropped.
+        """
+        now_ms = self._clock.now_ms()
+        dropped = False
+        for router, until_ms in list(self._lost.items()):
+            if now_ms < until_ms:
+                continue
+            for (holder, _), slot in self._slots.items():
+                if holder == router and slot.target in self._unknown:
+                    self._unknown[slot.target] += 1
+            self.forget(router)
+            dropped = True
+        return dropped
+
+    def _count_orphans(self) -> None:
+        self._orphaned = collections.Counter(
+            slot.target
+            for (router, _), slot in self._slots.items()
+            if router in self._lost
+        )
+
+    def _note_load(self, target: str) -> None:
+        """Keep what was granted on a target lately."""
+        history = self._history.get(target)
+        if history is None:
+            history = self._history[target] = History()
+        history.note(self._clock.now_ms(), self._load[target])
+
+    def note_report(
+        self, target: str, running: int, standing: bound.Standing
+    ) -> None:
+        """Compare what a target reports with what was granted here.
+
+        A report lags, so it is compared with the most and the least that
+        was granted within the lag: the first tells what certainly runs
+        beside, the second what may run beside. Nobody else grants while
+        this home has the majority, so the second only falls.
+
+        :param target: the target that was probed.
+        :param running: what it says is running.
+        :param standing: what this home may rely on.
+        """
+        self._note_load(target)
+        history = self._history[target]
+        self._foreign[target] = max(0, running - history.most())
+        self.follow(standing)
+        age_ms = self._clock.now_ms() - standing.since_ms
+        if standing.majority and age_ms >= REPORT_LAG_MS:
+            most = self._unknown.get(target, running)
+            beside = max(0, running - history.least())
+            self._unknown[target] = min(most, beside)
+
+
+def _decrease(
+    counter: "collections.Counter[str]", key: str, amount: int
+) -> None:
+    counter[key] -= amount
+    if counter[key] <= 0:
+        del counter[key]
--- a/src/bulrushdale/admission/queue.py
+++ b/src/bulrushdale/admission/queue.py
@@ -1,9 +1,18 @@
 """Requests that wait for a slot, ordered by paid priority."""
 
 import collections
+from collections import abc
 import dataclasses
+import itertools
 import typing
 
+# How many requests are considered for a free slot, and how often one may
+# be passed by another that is nearer to its cache.
+WINDOW = 16
+MOST_PASSED = 8
+
+PlaceT = typing.TypeVar("PlaceT")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ask:
@@ -45,13 +54,14 @@
     .. versionadded:: 0.1
     """
 
-    __slots__ = ("_waiting", "_virtual", "_now", "_count")
+    __slots__ = ("_waiting", "_virtual", "_now", "_count", "_passed")
 
     def __init__(self) -> None:
         self._waiting: dict[str, collections.deque[Ask]] = {}
         self._virtual: dict[str, float] = {}
         self._now = 0.0
         self._count = 0
+        self._passed: dict[Ask, int] = {}
 
     def __len__(self) -> int:
         return self._count
@@ -70,26 +80,63 @@
                 total += min(len(waiting), turns)
         return total
 
+    def contains(self, router: str, seq: int) -> bool:
+        """Return whether a request waits."""
+        return any(
+            ask.router == router and ask.seq == seq
+            for waiting in self._waiting.values()
+            for ask in waiting
+        )
+
     def push(self, ask: Ask) -> None:
         """Add a request behind the others of its team."""
         waiting = self._waiting.setdefault(ask.team, collections.deque())
         waiting.append(ask)
         self._count += 1
 
-    def take(self, may_start: typing.Callable[[Ask], bool]) -> Ask | None:
+    def take(
+        self,
+        place: typing.Callable[[Ask], PlaceT | None],
+        is_near: typing.Callable[[PlaceT], bool],
+    ) -> tuple[Ask, PlaceT] | None:
         """Remove and return the next request that may start.
 
-        :param may_start: tells whether a team's first request may.
+        Among the first few whose turn it is, one that can start where its
+        cache is goes first; it passes each of the others a few times at
+        most.
+
+        :param place: tells where a request may start, if anywhere.
+        :param is_near: tells whether that is where its cache is.
         """
+        first: tuple[Ask, PlaceT] | None = None
+        for ask, found in itertools.islice(self._startable(place), WINDOW):
+            if first is None:
+                first = (ask, found)
+                if self._passed.get(ask, 0) >= MOST_PASSED:
+                    break
+            if is_near(found):
+                if ask is not first[0]:
+                    passed = self._passed.get(first[0], 0)
+                    self._passed[first[0]] = passed + 1
+                self._remove_one(ask)
+                return ask, found
+        if first is not None:
+            self._remove_one(first[0])
+        return first
+
+    def _startable(
+        self, place: typing.Callable[[Ask], PlaceT | None]
+    ) -> abc.Iterator[tuple[Ask, PlaceT]]:
+        """Yield requests that may start, in the order of their turns."""
         order = sorted(
             self._waiting, key=lambda team: (self._start(team), team)
         )
         for team in order:
-            ask = self._waiting[team][0]
-            if may_start(ask):
-                self._pop(team)
-                return ask
-        return None
+            for ask in self._waiting[team]:
+                found = place(ask)
+                if found is None:
+                    break
+                yield ask, found
 
     def charge(self, team: str, weight: int) -> None:
         """Move a team's virtual time forward by one grant."""
@@ -106,12 +153,13 @@
     def _start(self, team: str) -> float:
         return max(self._now, self._virtual.get(team, 0.0))
 
-    def _pop(self, team: str) -> None:
-        waiting = self._waiting[team]
-        waiting.popleft()
+    def _remove_one(self, ask: Ask) -> None:
+        waiting = self._waiting[ask.team]
+        waiting.remove(ask)
+        self._passed.pop(ask, None)
         self._count -= 1
         if not waiting:
-            del self._waiting[team]
+            del self._waiting[ask.team]
 
     def remove(self, matches: typing.Callable[[Ask], bool]) -> list[Ask]:
         """Remove and return the requests that match."""
@@ -120,6 +168,8 @@
             kept: collections.deque[Ask] = collections.deque()
             for ask in self._waiting[team]:
                 (removed if matches(ask) else kept).append(ask)
+                if matches(ask):
+                    self._passed.pop(ask, None)
             if kept:
                 self._waiting[team] = kept
             else:
--- a/src/bulrushdale/admission/seats.py
+++ b/src/bulrushdale/admission/seats.py
@@ -1,7 +1,6 @@
 """Where one router gets its slots: its seat at each shard's home."""
 
 import asyncio
-import dataclasses
 import itertools
 import typing
 
@@ -9,6 +8,7 @@
 from bulrushdale.admission import desk as desk_module
 from bulrushdale.admission import desks as desks_module
 from bulrushdale.admission import queue
+from bulrushdale.admission import seat as seat_module
 from bulrushdale.catalogue import view as view_module
 from bulrushdale import clock as clock_module
 from bulrushdale.control import control_pb2 as pb
@@ -17,7 +17,6 @@
 from bulrushdale.fleet import targets as targets_module
 from bulrushdale import hashing
 from bulrushdale import results
-from bulrushdale import telemetry
 
 # A grant that was longer under way is given back, not used.
 TRANSIT_LIMIT_MS = 1_500
@@ -25,97 +24,11 @@
 USE_LIMIT_MS = 2_000
 # How much longer than the queue deadline a router waits for its home.
 HOME_GRACE_MS = 5_000
+# How soon a request asks again after a grant that it could not use.
+AGAIN_MS = 50
 SEQ_MASK = 0xFFFFFFFF
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Need:
-    """What a request needs a slot for.
-
-    :param pool: the pool or service.
-    :param team: the team that pays.
-    :param service_class: its class of service.
-    :param weight: the class's share.
-    :param wait_ms: how long it may wait, in ms.
-    :param affinity: hash of the prefix that a target's cache may hold.
-    :param chat: hash of the chat; zero for none.
-    :param tokens: estimated prompt and answer tokens.
-    """
-
-    pool: str
-    team: str
-    service_class: str
-    weight: int
-    wait_ms: int
-    affinity: int
-    chat: int = 0
-    tokens: int = 0
-
-
-class Grant:
-    """A slot that this router holds.
-
-    :ivar target: where the request may start.
-    :ivar reason: why that target was chosen.
-    :ivar bound: the target's bound at the time.
-    :ivar waited_ms: how long the request waited for it, in ms.
-    """
-
-    __slots__ = (
-        "seat",
-        "seq",
-        "target",
-        "reason",
-        "bound",
-        "waited_ms",
-        "granted_ms",
-        "home",
-    )
-
-    def __init__(
-        self,
-        seat: "Seat",
-        seq: int,
-        reply: desk_module.Reply,
-        waited_ms: int,
-        granted_ms: int,
-    ) -> None:
-        self.seat = seat
-        self.seq = seq
-        self.target = reply.target
-        self.reason = reply.reason
-        self.bound = reply.bound
-        self.waited_ms = waited_ms
-        self.granted_ms = granted_ms
-        self.home = seat.home or ""
-
-
-@dataclasses.dataclass(slots=True)
-class Waiting:
-    """A request for a slot that has no answer yet."""
-
-    request: pb.SlotRequest
-    future: "asyncio.Future[desk_module.Reply]"
-    sent_ms: int
-
-
-class Seat:
-    """This router's place at the home of one shard.
-
-    :ivar home: the router that grants the slots; none while it changes.
-    """
-
-    __slots__ = ("key", "home", "leaving", "free_ms", "waiting", "held")
-
-    def __init__(self, key: desks_module.ShardKey) -> None:
-        self.key = key
-        self.home: str | None = None
-        self.leaving: str | None = None
-        self.free_ms = 0
-        self.waiting: dict[int, Waiting] = {}
-        self.held: dict[int, pb.HeldSlot] = {}
-
-
 class Seats:
     """Gets and returns slots for the requests of one router.
 
@@ -126,6 +39,7 @@
     :param links: the links to them.
     :param clock: the clock.
     :param lease_ms: how long a home counts this router as attached.
+    :param traceparent: returns the trace context to pass on, if any.
 
     .. versionadded:: 0.1
     """
@@ -139,6 +53,7 @@
         links: links_module.Links,
         clock: clock_module.Clock,
         lease_ms: int,
+        traceparent: typing.Callable[[], str] = str,
     ) -> None:
         self._own = own
         self._view = view
@@ -147,7 +62,10 @@
         self._links = links
         self._clock = clock
         self._lease_ms = lease_ms
-        self._seats: dict[desks_module.ShardKey, Seat] = {}
+        self._traceparent = traceparent
+        self._eligible: list[str] = []
+        self._seats: dict[seat_module.ShardKey, seat_module.Seat] = {}
+        self._asked: dict[int, seat_module.Seat] = {}
         self._seq = itertools.count(1)
         self._desks: desks_module.Desks | None = None
 
@@ -162,8 +80,8 @@
         return self._desks
 
     async def acquire(
-        self, need: Need, excluded: tuple[str, ...] = ()
-    ) -> Grant:
+        self, need: seat_module.Need, excluded: tuple[str, ...] = ()
+    ) -> seat_module.Grant:
         """Get a slot.
 
         :param need: what it is for.
@@ -182,12 +100,17 @@
                     reply.retry_after_ms,
                 )
             now_ms = self._clock.now_ms()
-            grant = Grant(seat, seq, reply, now_ms - started_ms, now_ms)
-            if fresh:
+            grant = seat_module.Grant(
+                seat, seq, reply, now_ms - started_ms, now_ms
+            )
+            if fresh and grant.target:
                 return grant
             self.release(grant)
+            await self._clock.sleep_ms(AGAIN_MS)
 
-    async def resume(self, need: Need, target: str) -> Grant:
+    async def resume(
+        self, need: seat_module.Need, target: str
+    ) -> seat_module.Grant:
         """Count an answer that runs already under this router's name.
 
         :param need: the team and pool of the answer.
@@ -201,14 +124,14 @@
             seat, need, (), need.wait_ms, resumed=target
         )
         now_ms = self._clock.now_ms()
-        return Grant(seat, seq, reply, now_ms - started_ms, now_ms)
+        return seat_module.Grant(seat, seq, reply, now_ms - started_ms, now_ms)
 
-    def usable(self, grant: Grant) -> bool:
+    def usable(self, grant: seat_module.Grant) -> bool:
         """Return whether a grant is recent enough to start work on it."""
         age_ms = self._clock.now_ms() - grant.granted_ms
         return age_ms <= USE_LIMIT_MS
 
-    def _shard(self, need: Need) -> int:
+    def _shard(self, need: seat_module.Need) -> int:
         shards = self._targets.shard_count(need.pool)
         names = [target.name for target in self._targets.stable(need.pool)]
         if not names:
@@ -223,18 +146,18 @@
             hashing.winner(need.affinity, names), shards
         )
 
-    def _seat(self, pool: str, shard: int) -> Seat:
+    def _seat(self, pool: str, shard: int) -> seat_module.Seat:
         key = (pool, shard)
         seat = self._seats.get(key)
         if seat is None:
-            seat = self._seats[key] = Seat(key)
+            seat = self._seats[key] = seat_module.Seat(key)
             self._keep(seat)
         return seat
 
     async def _ask(
         self,
-        seat: Seat,
-        need: Need,
+        seat: seat_module.Seat,
+        need: seat_module.Need,
         excluded: tuple[str, ...],
         wait_ms: int,
         resumed: str = "",
@@ -249,19 +172,22 @@
             pool=seat.key[0],
             shard=seat.key[1],
             affinity=need.affinity,
-            chat=need.chat,
+            chat_is_affinity=need.chat == need.affinity,
             team=need.team,
-            service_class=need.service_class,
+            service_class=need.service_class if need.lowered else "",
             tokens=need.tokens,
             excluded=excluded,
-            wait_ms=max(0, wait_ms),
-            weight=need.weight,
             resumed=resumed,
-            traceparent=telemetry.inject().get("traceparent", ""),
+            traceparent=self._traceparent(),
         )
+        if not request.chat_is_affinity:
+            request.chat = need.chat
+        if wait_ms < need.wait_ms:
+            request.wait_ms = max(1, wait_ms)
         future = asyncio.get_running_loop().create_future()
-        waiting = Waiting(request, future, self._clock.now_ms())
+        waiting = seat_module.Waiting(request, future, self._clock.now_ms())
         seat.waiting[seq] = waiting
+        self._asked[seq] = seat
         try:
             if seat.home is not None:
                 self._send(seat, waiting)
@@ -269,14 +195,14 @@
             async with asyncio.timeout(limit_ms / 1000):
                 reply = await future
         except TimeoutError:
-            self._give_back(seat, seat.home, seq)
+            self._forget(seat, seq)
             raise results.refuse(
                 results.Code.QUEUE_DEADLINE,
                 f"the home of pool {seat.key[0]} did not answer",
                 1_000,
             ) from None
         except asyncio.CancelledError:
-            self._give_back(seat, seat.home, seq)
+            self._forget(seat, seq)
             raise
         finally:
             seat.waiting.pop(seq, None)
@@ -287,11 +213,15 @@
                 team=need.team,
                 tokens=need.tokens,
             )
+        else:
+            del self._asked[seq]
         spent_ms = self._clock.now_ms() - waiting.sent_ms
         fresh = spent_ms - reply.waited_ms <= TRANSIT_LIMIT_MS
         return reply, fresh, seq
 
-    def _send(self, seat: Seat, waiting: Waiting) -> None:
+    def _send(
+        self, seat: seat_module.Seat, waiting: seat_module.Waiting
+    ) -> None:
         waiting.sent_ms = self._clock.now_ms()
         if seat.home == self._own:
             self._own_desks.ask(waiting.request, self._own)
@@ -300,26 +230,28 @@
         if link is not None:
             link.queue().slot_requests.append(waiting.request)
 
-    def release(self, grant: Grant) -> None:
+    def release(self, grant: seat_module.Grant) -> None:
         """Return a slot; a second call does nothing."""
         if grant.seat.held.pop(grant.seq, None) is not None:
-            self._give_back(grant.seat, grant.seat.home, grant.seq)
+            self._forget(grant.seat, grant.seq)
 
-    def _give_back(self, seat: Seat, home: str | None, seq: int) -> None:
-        if home is None:
-            return
+    def _forget(self, seat: seat_module.Seat, seq: int) -> None:
+        """Return whatever a request got or waits for."""
+        self._asked.pop(seq, None)
+        if seat.home is not None:
+            self._give_back(seat.home, seq)
+
+    def _give_back(self, home: str, seq: int) -> None:
         if home == self._own:
-            self._own_desks.release(seat.key, self._own, seq)
+            self._own_desks.release(self._own, seq)
             return
         link = self._links.get(home)
         if link is not None:
-            link.queue().releases.add(
-                seq=seq, pool=seat.key[0], shard=seat.key[1]
-            )
+            link.queue().releases.append(seq)
 
     def answered_own(
         self,
-        key: desks_module.ShardKey,
+        key: seat_module.ShardKey,
         ask: queue.Ask,
         reply: desk_module.Reply,
     ) -> None:
@@ -334,17 +266,17 @@
         A grant that nobody waits for, or that comes from a router that is
         no longer the home, is given back.
         """
-        seat = self._seats.get((message.pool, message.shard))
-        if seat is None:
+        seat = self._asked.get(message.seq)
+        if seat is None or seat.home != home:
+            if message.code == results.Code.OK:
+                self._give_back(home, message.seq)
             return
         waiting = seat.waiting.get(message.seq)
-        if waiting is None or seat.home != home or waiting.future.done():
-            if message.code == 0 and message.seq not in seat.held:
-                self._give_back(seat, home, message.seq)
+        if waiting is None:
             return
         reply = desk_module.Reply(
             results.Code(message.code),
-            message.target,
+            self._target_of(seat, message.target),
             message.retry_after_ms,
             choice.Reason(message.reason),
             message.bound,
@@ -352,7 +284,16 @@
         )
         self._settle(waiting, reply)
 
-    def _settle(self, waiting: Waiting, reply: desk_module.Reply) -> None:
+    def _target_of(self, seat: seat_module.Seat, name_hash: int) -> str:
+        """Return the target of a hash; empty if it is not known here yet."""
+        for target in self._targets.of_pool(seat.key[0]):
+            if hashing.name_hash(target.name) == name_hash:
+                return target.name
+        return ""
+
+    def _settle(
+        self, waiting: seat_module.Waiting, reply: desk_module.Reply
+    ) -> None:
         if not waiting.future.done():
             waiting.future.set_result(reply)
 
@@ -361,10 +302,14 @@
         for pool in self._view.pool_names():
             for shard in range(self._targets.shard_count(pool)):
                 self._seat(pool, shard)
+        eligible = self._members.eligible()
+        changed = eligible != self._eligible
+        self._eligible = eligible
         for seat in self._seats.values():
-            self._keep(seat)
+            if changed or seat.home is None:
+                self._keep(seat)
 
-    def _keep(self, seat: Seat) -> None:
+    def _keep(self, seat: seat_module.Seat) -> None:
         if seat.leaving is not None:
             self._finish_leaving(seat)
             return
@@ -374,14 +319,14 @@
         elif seat.home != wanted:
             self._leave(seat)
 
-    def _wanted_home(self, seat: Seat) -> str:
+    def _wanted_home(self, seat: seat_module.Seat) -> str:
         names = self._members.eligible()
         if not names:
             return self._own
         label = f"{seat.key[0]}/{seat.key[1]}"
         return hashing.winner(hashing.hash64(label.encode()), names)
 
-    def _leave(self, seat: Seat) -> None:
+    def _leave(self, seat: seat_module.Seat) -> None:
         """Stop asking the old home, and wait until it knows."""
         old = typing.cast(str, seat.home)
         seat.home = None
@@ -401,7 +346,7 @@
                 seat.free_ms = member.heard_ms + self._lease_ms
         self._finish_leaving(seat)
 
-    def _finish_leaving(self, seat: Seat) -> None:
+    def _finish_leaving(self, seat: seat_module.Seat) -> None:
         """Attach to the next home once the old one can't count on us."""
         old = typing.cast(str, seat.leaving)
         member = self._members.get(old)
@@ -410,14 +355,14 @@
             seat.leaving = None
             self._attach(seat, self._wanted_home(seat))
 
-    def released_by(self, home: str, key: desks_module.ShardKey) -> None:
+    def released_by(self, home: str, key: seat_module.ShardKey) -> None:
         """Note that a former home knows that this router has left."""
         seat = self._seats.get(key)
         if seat is not None and seat.leaving == home:
             seat.free_ms = 0
             self._finish_leaving(seat)
 
-    def _attach(self, seat: Seat, home: str) -> None:
+    def _attach(self, seat: seat_module.Seat, home: str) -> None:
         seat.home = home
         held = list(seat.held.values())
         if home == self._own:
--- a/src/bulrushdale/claims/duty.py
+++ b/src/bulrushdale/claims/duty.py
@@ -269,6 +269,14 @@
                     ledger.offset = max(ledger.offset, page.first)
                     return ledger.offset
 
+    async def refresh(self) -> None:
+        """Fold what is new; an outage is noted by the log's client."""
+        try:
+            await self._catch_up()
+        except log.LogUnavailableError:
+            return
+        self._expire()
+
     def _expire(self) -> None:
         now_ms = self._clock.now_ms()
         if now_ms - self._expired_ms > EXPIRE_INTERVAL_MS:
--- a/src/bulrushdale/claims/holder.py
+++ b/src/bulrushdale/claims/holder.py
@@ -245,6 +245,19 @@
             reply.content_type = decision.outcome.content_type
         link.queue().claim_replies.append(reply)
 
+    async def keep(self) -> None:
+        """Keep the partitions on duty here up to date with the log.
+
+        A claim then finds its partition replayed, and an outage of the log
+        is known before the first claim that it hinders.
+        """
+        mine = [
+            partition
+            for partition in range(keys.PARTITIONS)
+            if self._on_duty(partition)[0] == self._own
+        ]
+        await asyncio.gather(*(self.duty(p).refresh() for p in mine))
+
     async def retire(self) -> None:
         """Give up duties that other routers have held for a while."""
         now_ms = self._clock.now_ms()
--- a/src/bulrushdale/daemon.py
+++ b/src/bulrushdale/daemon.py
@@ -36,9 +36,11 @@
 LOG = logging.getLogger(__name__)
 
 SEATS_INTERVAL_MS = 100
+# While requests wait for slots, desks look this often for room.
 DESKS_INTERVAL_MS = 20
 # While a new home waits for reports it probes at every step.
 PROBE_STEP_MS = 250
+CLAIMS_INTERVAL_MS = 2_000
 RETIRE_INTERVAL_MS = 30_000
 DRAIN_POLL_MS = 50
 # After this long without news of the platform a router reads for itself.
@@ -75,6 +77,7 @@
     catalogue = fold.Catalogue()
     view = view_module.View(catalogue)
     targets = targets_module.Targets(view, settings.data_centre, clock)
+    telemetry = telemetry_module.Telemetry(settings)
     handlers = traffic.Traffic(clock)
     links = links_module.Links(
         members,
@@ -92,6 +95,7 @@
         links,
         clock,
         settings.links.lease_ms,
+        telemetry.traceparent,
     )
     desks = desks_module.Desks(
         own.name,
@@ -117,7 +121,7 @@
     parts = parts_module.Parts(
         settings=settings,
         clock=clock,
-        telemetry=telemetry_module.Telemetry(settings),
+        telemetry=telemetry,
         session=session,
         once_session=once_session,
         catalogue=catalogue,
@@ -194,8 +198,8 @@
             (poll_ms, self._follow_log),
             (poll_ms, self._follow_list),
             (SEATS_INTERVAL_MS, self._keep_seats),
-            (DESKS_INTERVAL_MS, self._keep_desks),
             (PROBE_STEP_MS, self._probe),
+            (CLAIMS_INTERVAL_MS, self._keep_claims),
             (RETIRE_INTERVAL_MS, self._parts.holder.retire),
         ]
 
@@ -305,9 +309,18 @@
     async def _keep_seats(self) -> None:
         if self._parts.catalogue.loaded:
             self._parts.seats.maintain()
-
-    async def _keep_desks(self) -> None:
+        deadline_ms = self._clock.now_ms() + SEATS_INTERVAL_MS
         self._parts.desks.tick()
+        while (
+            self._parts.desks.queued()
+            and self._clock.now_ms() + DESKS_INTERVAL_MS < deadline_ms
+        ):
+            await self._clock.sleep_ms(DESKS_INTERVAL_MS)
+            self._parts.desks.tick()
+
+    async def _keep_claims(self) -> None:
+        if self._parts.catalogue.loaded:
+            await self._parts.holder.keep()
 
     async def _probe(self) -> None:
         parts = self._parts
--- a/src/bulrushdale/fleet/links.py
+++ b/src/bulrushdale/fleet/links.py
@@ -364,8 +364,10 @@
         peer = link.peer
         peer.draining = beat.draining
         peer.catalogue_offset = beat.catalogue_offset
-        peer.log_read_ms = now_ms - beat.log_age_ms
-        peer.list_read_ms = now_ms - beat.list_age_ms
+        if beat.log_age_ms:
+            peer.log_read_ms = now_ms - beat.log_age_ms + 1
+        if beat.list_age_ms:
+            peer.list_read_ms = now_ms - beat.list_age_ms + 1
 
     async def _beat_forever(self) -> None:
         while True:
--- a/src/bulrushdale/hashing.py
+++ b/src/bulrushdale/hashing.py
@@ -18,6 +18,11 @@
     return xxhash.xxh3_64_intdigest(data)
 
 
+def name_hash(name: str) -> int:
+    """Return the hash by which routers name a target to each other."""
+    return hash64(name.encode())
+
+
 def _weight(name: str, key: int) -> tuple[int, str]:
     """Return the weight of a name for a key; the name breaks ties."""
     return xxhash.xxh3_64_intdigest(name.encode(), key), name
--- a/src/bulrushdale/telemetry.py
+++ b/src/bulrushdale/telemetry.py
@@ -114,6 +114,10 @@
             description=description,
         )
 
+    def traceparent(self) -> str:
+        """Return the trace context for a peer; empty while traces are off."""
+        return inject().get("traceparent", "") if self.tracing else ""
+
     def placement_span(
         self, traceparent: str
     ) -> typing.ContextManager[typing.Any]:
--- a/src/bulrushdale/traffic.py
+++ b/src/bulrushdale/traffic.py
@@ -14,7 +14,7 @@
 
 LOG = logging.getLogger(__name__)
 
-UNKNOWN_AGE_MS = 0x7FFFFFFF
+OLD_AGE_MS = 60_000
 WANTED_INTERVAL_MS = 1_000
 # No list has this version, so a change based on it is never applied.
 VERSION_NEVER = 0xFFFFFFFFFFFFFFFF
@@ -61,9 +61,11 @@
         )
 
     def _age(self, time_ms: int | None) -> int:
+        """Return an age plus one, in ms; zero if it says nothing new."""
         if time_ms is None:
-            return UNKNOWN_AGE_MS
-        return min(UNKNOWN_AGE_MS, self._clock.now_ms() - time_ms)
+            return 0
+        age_ms = self._clock.now_ms() - time_ms
+        return 0 if age_ms > OLD_AGE_MS else age_ms + 1
 
     def opened(self, link: links_module.Link) -> None:
         """Attach at a home whose link is open, and bring it up to date."""
@@ -95,9 +97,8 @@
         for attach in frame.attaches:
             key = (attach.pool, attach.shard)
             parts.desks.attach(key, peer, list(attach.held))
-        for release in frame.releases:
-            key = (release.pool, release.shard)
-            parts.desks.release(key, peer, release.seq)
+        for seq in frame.releases:
+            parts.desks.release(peer, seq)
         for request in frame.slot_requests:
             with self._placement(request):
                 parts.desks.ask(request, peer)
@@ -136,10 +137,10 @@
 
     def _note_list_age(self, age_ms: int) -> None:
         """Count a peer's reading of the list as news of it."""
-        if age_ms >= UNKNOWN_AGE_MS:
+        if not age_ms:
             return
         members = self._parts.members
-        read_ms = self._clock.now_ms() - age_ms
+        read_ms = self._clock.now_ms() - age_ms + 1
         if members.list_seen_ms is None or members.list_seen_ms < read_ms:
             members.list_seen_ms = read_ms
 
--- /dev/null
+++ b/src/bulrushdale/web/calls.py
@@ -0,0 +1,131 @@
+"""One call of a service's target."""
+
+import dataclasses
+import typing
+
+import aiohttp
+from aiohttp import web
+
+from bulrushdale.admission import seat as seat_module
+from bulrushdale.catalogue import entries
+from bulrushdale.claims import ledger
+from bulrushdale import hashing
+from bulrushdale import parts as parts_module
+
+if typing.TYPE_CHECKING:
+    from bulrushdale.web import callers
+
+CONNECT_TIMEOUT_MS = 1_000
+NOT_CONNECTED = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
+
+
+class NotSentError(Exception):
+    """No connection to the target was made, so nothing was sent."""
+
+
+class StaleSlotError(NotSentError):
+    """The slot was granted too long ago to be used."""
+
+
+class UnansweredError(Exception):
+    """The call was sent and no answer came."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One call of a service.
+
+    :param service: the service's name.
+    :param spec: the service's entry.
+    :param method: the HTTP method.
+    :param path: path and query, from the slash on.
+    :param headers: the caller's headers that are passed on.
+    :param body: the body.
+    """
+
+    service: str
+    spec: entries.Service
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+    def digest(self) -> bytes:
+        """Return what two requests with one key must have in common."""
+        head = f"{self.method} {self.path}\n".encode()
+        return hashing.digest(head + self.body)
+
+
+async def send(
+    parts: parts_module.Parts,
+    session: aiohttp.ClientSession,
+    grant: seat_module.Grant,
+    one_call: Call,
+) -> ledger.Outcome:
+    """Make the call once.
+
+    :raises NotSentError: if no connection was made.
+    :raises UnansweredError: if the connection broke afterwards.
+    """
+    target = parts.targets.get(grant.target)
+    if target is None or not parts.seats.usable(grant):
+        raise StaleSlotError("the slot is too old")
+    timeout = aiohttp.ClientTimeout(
+        total=one_call.spec.call_timeout_ms / 1000,
+        sock_connect=CONNECT_TIMEOUT_MS / 1000,
+    )
+    try:
+        async with session.request(
+            one_call.method,
+            f"{target.url}{one_call.path}",
+            data=one_call.body or None,
+            headers=one_call.headers,
+            timeout=timeout,
+            allow_redirects=False,
+        ) as response:
+            body = await response.read()
+            return ledger.Outcome(response.status, body, response.content_type)
+    except NOT_CONNECTED as error:
+        raise NotSentError(repr(error)) from error
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        raise UnansweredError(repr(error)) from error
+
+
+async def acquire(
+    parts: parts_module.Parts,
+    caller: "callers.Caller",
+    need: seat_module.Need,
+    failed: tuple[str, ...],
+) -> seat_module.Grant:
+    """Get a slot for a call, and note which.
+
+    :param failed: targets that failed the call already.
+    :raises bulrushdale.results.RefusedError: if there is none in time.
+    """
+    with parts.telemetry.tracer.start_as_current_span("slot"):
+        grant = await parts.seats.acquire(need, failed)
+    caller.story.step("slot", f"{grant.target}, by home {grant.home}")
+    return grant
+
+
+def response(
+    caller: "callers.Caller",
+    outcome: ledger.Outcome,
+    replayed: bool = False,
+) -> web.Response:
+    """Return the response that carries an outcome.
+
+    :param replayed: whether an earlier request made the call.
+    """
+    headers = {"X-Request-Id": caller.request_id, "Bulrushdale-Ran": "yes"}
+    if replayed:
+        headers["Idempotency-Replayed"] = "true"
+    return web.Response(
+        body=outcome.answer,
+        status=outcome.status,
+        content_type=outcome.content_type or "application/octet-stream",
+        headers=headers,
+    )
--- a/src/bulrushdale/web/chats.py
+++ b/src/bulrushdale/web/chats.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from bulrushdale.admission import seats as seats_module
+from bulrushdale.admission import seat as seat_module
 from bulrushdale.answers import chat
 from bulrushdale.answers import frames
 from bulrushdale.answers import ids
@@ -44,7 +44,7 @@
     source: source_module.Source
     batches: abc.AsyncIterator[list[bytes]]
     first: list[bytes]
-    grant: seats_module.Grant
+    grant: seat_module.Grant
 
 
 async def models(
@@ -98,7 +98,7 @@
         raise results.refuse(
             results.Code.ANSWER_GONE, "the engine has left the catalogue"
         )
-    need = seats_module.Need(
+    need = seat_module.Need(
         answer_id.pool,
         caller.team,
         caller.spec.class_of_service,
@@ -128,7 +128,7 @@
 
 def _need(
     parts: parts_module.Parts, caller: "callers.Caller", call: chat.ChatCall
-) -> tuple[seats_module.Need, int]:
+) -> tuple[seat_module.Need, int]:
     """Return what slot the call needs, and its priority at the engine."""
     pool = parts.view.pool_of_model(call.model)
     if pool is None:
@@ -141,7 +141,7 @@
         lower = parts.view.service_class(call.service_tier)
         if lower.weight <= paid.weight:
             name, paid = call.service_tier, lower
-    need = seats_module.Need(
+    need = seat_module.Need(
         pool,
         caller.team,
         name,
@@ -150,6 +150,7 @@
         call.affinity,
         call.chat,
         call.tokens,
+        name != caller.spec.class_of_service,
     )
     return need, paid.engine_priority
 
@@ -157,7 +158,7 @@
 async def _open(
     parts: parts_module.Parts,
     caller: "callers.Caller",
-    need: seats_module.Need,
+    need: seat_module.Need,
     body: bytes,
 ) -> Answer:
     """Start the call on an engine, on another one if that fails."""
@@ -190,9 +191,9 @@
 async def _acquire(
     parts: parts_module.Parts,
     caller: "callers.Caller",
-    need: seats_module.Need,
+    need: seat_module.Need,
     failed: tuple[str, ...],
-) -> seats_module.Grant:
+) -> seat_module.Grant:
     with parts.telemetry.tracer.start_as_current_span("slot"):
         grant = await parts.seats.acquire(need, failed)
     caller.story.step(
@@ -207,8 +208,8 @@
 async def _start(
     parts: parts_module.Parts,
     caller: "callers.Caller",
-    need: seats_module.Need,
-    grant: seats_module.Grant,
+    need: seat_module.Need,
+    grant: seat_module.Grant,
     body: bytes,
 ) -> Answer:
     target = parts.targets.get(grant.target)
--- /dev/null
+++ b/src/bulrushdale/web/once.py
@@ -0,0 +1,212 @@
+"""Calls that run at most once for their key."""
+
+import typing
+
+from aiohttp import web
+
+from bulrushdale.admission import seat as seat_module
+from bulrushdale.claims import holder as holder_module
+from bulrushdale.claims import keys
+from bulrushdale.claims import ledger
+from bulrushdale import parts as parts_module
+from bulrushdale import results
+from bulrushdale.web import calls
+
+if typing.TYPE_CHECKING:
+    from bulrushdale.web import callers
+
+TRIES = 3
+COME_BACK_MS = 2_000
+OUTCOME_WAIT_MS = 3_000
+OUTCOME_POLL_MS = 200
+# A claim without an outcome for longer than a call may take is not
+# going to get one from a holder that is alive.
+ABANDONED_MARGIN_MS = 15_000
+
+Verdict = ledger.Verdict
+
+
+def expired() -> results.RefusedError:
+    """Return the refusal of a key that is too old."""
+    return results.refuse(
+        results.Code.KEY_EXPIRED, "the Idempotency-Key is too old"
+    )
+
+
+async def run(
+    parts: parts_module.Parts,
+    caller: "callers.Caller",
+    need: seat_module.Need,
+    one_call: calls.Call,
+    key: keys.Key,
+) -> web.Response:
+    """Make a call that runs at most once for its key."""
+    try:
+        grant = await calls.acquire(parts, caller, need, ())
+    except results.RefusedError as error:
+        return await _without_slot(parts, caller, one_call, key, error)
+    try:
+        claim, decision = await parts.holder.claim(key, one_call.digest())
+    except BaseException:
+        parts.seats.release(grant)
+        raise
+    caller.story.step("claim", decision.verdict.name.lower())
+    if decision.verdict == Verdict.WON:
+        return await _call(parts, caller, need, one_call, claim, grant)
+    parts.seats.release(grant)
+    if decision.verdict == Verdict.UNAVAILABLE:
+        parts.holder.release(claim)
+    return await _stand_aside(parts, caller, one_call, claim, decision)
+
+
+async def _without_slot(
+    parts: parts_module.Parts,
+    caller: "callers.Caller",
+    one_call: calls.Call,
+    key: keys.Key,
+    error: results.RefusedError,
+) -> web.Response:
+    """Refuse for want of a slot, unless the key has run already."""
+    claim = holder_module.Claim(key, b"", one_call.digest())
+    decision = await parts.holder.look(claim)
+    caller.story.step("look", decision.verdict.name.lower())
+    if decision.verdict == Verdict.FREE:
+        raise error
+    if decision.verdict == Verdict.UNAVAILABLE:
+        refusal = error.refusal
+        raise results.refuse(
+            refusal.code,
+            refusal.detail,
+            refusal.retry_after_ms,
+            _effect_unavailable(parts, key, decision),
+        )
+    return await _stand_aside(parts, caller, one_call, claim, decision)
+
+
+def _effect_unavailable(
+    parts: parts_module.Parts,
+    key: keys.Key,
+    decision: holder_module.Decision,
+) -> results.Ran:
+    """Return whether a key may have run while the log can't be read.
+
+    A key that is younger than the log's outage can't have been claimed
+    before; of an older one nothing is known.
+    """
+    down_since_ms = parts.clock.wall_ms() - decision.age_ms
+    if key.time_ms > down_since_ms:
+        return results.Ran.NO
+    return results.Ran.UNKNOWN
+
+
+async def _call(
+    parts: parts_module.Parts,
+    caller: "callers.Caller",
+    need: seat_module.Need,
+    one_call: calls.Call,
+    claim: holder_module.Claim,
+    grant: seat_module.Grant,
+) -> web.Response:
+    """Make the call under a claim that was won."""
+    failed: tuple[str, ...] = ()
+    for _ in range(TRIES):
+        try:
+            outcome = await calls.send(
+                parts, parts.once_session, grant, one_call
+            )
+        except calls.NotSentError as error:
+            caller.story.step("not sent", f"{grant.target}: {error}")
+            if not isinstance(error, calls.StaleSlotError):
+                failed += (grant.target,)
+        except calls.UnansweredError as error:
+            caller.story.step("no answer", f"{grant.target}: {error}")
+            parts.holder.settle(claim, ledger.Outcome(0, b"", ""))
+            raise results.refuse(
+                results.Code.TARGET_FAILED, f"the target failed: {error}"
+            ) from error
+        else:
+            caller.story.step("answered", f"status {outcome.status}")
+            parts.holder.settle(claim, _kept(outcome))
+            return calls.response(caller, outcome)
+        finally:
+            parts.seats.release(grant)
+        try:
+            grant = await calls.acquire(parts, caller, need, failed)
+        except results.RefusedError:
+            parts.holder.release(claim)
+            raise
+    parts.seats.release(grant)
+    parts.holder.release(claim)
+    raise results.refuse(
+        results.Code.NO_TARGET, "no target could be reached", COME_BACK_MS
+    )
+
+
+def _kept(outcome: ledger.Outcome) -> ledger.Outcome:
+    """Return the outcome as far as it is stored."""
+    if len(outcome.answer) <= ledger.STORED_ANSWER_BYTES:
+        return outcome
+    return ledger.Outcome(outcome.status, b"", "")
+
+
+async def _stand_aside(
+    parts: parts_module.Parts,
+    caller: "callers.Caller",
+    one_call: calls.Call,
+    claim: holder_module.Claim,
+    decision: holder_module.Decision,
+) -> web.Response:
+    """Answer a request whose key another request holds or has used."""
+    deadline_ms = parts.clock.now_ms() + OUTCOME_WAIT_MS
+    limit_ms = one_call.spec.call_timeout_ms + ABANDONED_MARGIN_MS
+    while (
+        decision.verdict == Verdict.PENDING
+        and decision.age_ms < limit_ms
+        and parts.clock.now_ms() < deadline_ms
+    ):
+        await parts.clock.sleep_ms(OUTCOME_POLL_MS)
+        latest = await parts.holder.look(claim)
+        if latest.verdict != Verdict.UNAVAILABLE:
+            decision = latest
+    caller.story.step("key", decision.verdict.name.lower())
+    if decision.verdict == Verdict.DONE and decision.outcome is not None:
+        if decision.outcome.status:
+            return calls.response(caller, decision.outcome, replayed=True)
+        raise _unknown("an earlier call with this key got no answer")
+    raise _refusal(parts, claim, decision, limit_ms)
+
+
+def _refusal(
+    parts: parts_module.Parts,
+    claim: holder_module.Claim,
+    decision: holder_module.Decision,
+    limit_ms: int,
+) -> results.RefusedError:
+    if decision.verdict == Verdict.REUSED:
+        return results.refuse(
+            results.Code.KEY_REUSED,
+            "the key was used for a request with another body",
+        )
+    if decision.verdict == Verdict.EXPIRED:
+        return expired()
+    if decision.verdict == Verdict.PENDING:
+        if decision.age_ms >= limit_ms:
+            return _unknown("the call's router left no outcome")
+        return results.refuse(
+            results.Code.IN_PROGRESS,
+            "another request with this key is being served",
+            COME_BACK_MS,
+        )
+    effect = results.Ran.NO
+    if decision.verdict == Verdict.UNAVAILABLE:
+        effect = _effect_unavailable(parts, claim.key, decision)
+    return results.refuse(
+        results.Code.CLAIMS_UNAVAILABLE,
+        "the key could not be claimed, and this request did not run",
+        COME_BACK_MS,
+        effect,
+    )
+
+
+def _unknown(detail: str) -> results.RefusedError:
+    return results.refuse(results.Code.OUTCOME_UNKNOWN, detail)
