End what a peer held on a link when a new link replaces it

Its peers' new links were accepted before the loss of the older ones was seen, and the older one's loss was then passed over; so the peers counted as attached, with leases that the new links had just renewed, while they were attached elsewhere. Ruled out: starts that arrive late (the load stood above the bound for 0.6 s), the orphans' memory.

A replaced link is a lost link now; test_a_new_link_ends_what_the_older_one_ held failed before. A home whose majority lapsed, or that did not look at it for a lease, also starts a new tenure and waits for reports again.

--- a/src/bulrushdale/admission/desks.py
+++ b/src/bulrushdale/admission/desks.py
@@ -72,7 +72,6 @@
         self._standings: dict[
             seat_module.ShardKey, tuple[int, bound.Standing]
         ] = {}
-        self._since_ms: dict[seat_module.ShardKey, int] = {}
 
     def desk(self, key: seat_module.ShardKey) -> desk_module.Desk:
         """Return the desk of a shard, opening it if need be."""
@@ -111,22 +110,42 @@
         """
         now_ms = self._clock.now_ms()
         known = self._standings.get(key)
-        if known is not None and known[0] == now_ms // STANDING_MS:
+        if known is not None and known[0] // STANDING_MS == (
+            now_ms // STANDING_MS
+        ):
             return known[1]
-        standing = self._work_out(key)
-        self._standings[key] = (now_ms // STANDING_MS, standing)
+        standing = self._work_out(key, known, now_ms)
+        self._standings[key] = (now_ms, standing)
         return standing
 
-    def _work_out(self, key: seat_module.ShardKey) -> bound.Standing:
+    def _work_out(
+        self,
+        key: seat_module.ShardKey,
+        known: tuple[int, bound.Standing] | None,
+        now_ms: int,
+    ) -> bound.Standing:
         attached = {r for r in self._attached[key] if self._lease_holds(r)}
         everyone = attached.union(self._members.share_names())
         settled = not self._members.lost_since(ORPHAN_MEMORY_MS)
+        majority = bound.has_majority(attached, everyone)
+        # A home that had no majority, or did not look for so long that it
+        # may have had none, starts anew: another may have granted.
+        goes_on = (
+            known is not None
+            and known[1].majority
+            and now_ms - known[0] < self._lease_ms
+        )
+        since_ms = known[1].since_ms if known and goes_on else now_ms
         return bound.Standing(
-            bound.has_majority(attached, everyone),
-            settled and attached == everyone,
-            self._since_ms.get(key, 0),
+            majority, settled and attached == everyone, since_ms
         )
 
+    def _expire_standing(self, key: seat_module.ShardKey) -> None:
+        """Work the standing out anew when it is asked for next."""
+        known = self._standings.get(key)
+        if known is not None:
+            self._standings[key] = (known[0] - STANDING_MS, known[1])
+
     def grants(self, key: seat_module.ShardKey) -> bool:
         """Return whether this router may grant slots of a shard."""
         return self.standing(key).majority
@@ -165,17 +184,15 @@
         self, key: seat_module.ShardKey, router: str, held: list[pb.HeldSlot]
     ) -> None:
         """Take a router on, with the slots that it holds."""
-        if not self._attached[key]:
-            self._since_ms[key] = self._clock.now_ms()
         self._attached[key].add(router)
-        self._standings.pop(key, None)
+        self._expire_standing(key)
         slots = [(h.seq, h.target, h.team, h.tokens) for h in held]
         self.desk(key).attach(router, slots)
 
     def detach(self, key: seat_module.ShardKey, router: str) -> None:
         """Let a router go to another home."""
         self._attached[key].discard(router)
-        self._standings.pop(key, None)
+        self._expire_standing(key)
         self.desk(key).detach(router)
 
     def ask(self, request: pb.SlotRequest, router: str) -> None:
@@ -229,7 +246,7 @@
             if router not in attached:
                 continue
             attached.discard(router)
-            self._standings.pop(key, None)
+            self._expire_standing(key)
             member = self._members.get(router)
             dead = member is None or member.refused
             hold_ms = DEAD_HOLD_MS if dead else CUT_HOLD_MS
@@ -241,6 +258,8 @@
 
     def tick(self) -> None:
         """Let time pass on every desk."""
+        for key in self._desks:
+            self.standing(key)
         for desk in self._desks.values():
             desk.tick()
 
--- a/src/bulrushdale/fleet/links.py
+++ b/src/bulrushdale/fleet/links.py
@@ -311,11 +311,13 @@
         member.linked = True
         now_ms = self._clock.now_ms()
         member.heard_ms = now_ms
-        link = Link(member, now_ms)
-        older = self._links.get(member.name)
-        self._links[member.name] = link
+        older = self._links.pop(member.name, None)
         if older is not None:
+            # Whatever the peer had here, it may have taken elsewhere.
             older.close()
+            self._handlers.lost(older)
+        link = Link(member, now_ms)
+        self._links[member.name] = link
         self._handlers.opened(link)
         return link
 
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,109 @@
+"""Links between routers."""
+
+import asyncio
+
+import pytest
+
+from bulrushdale import clock as clock_module
+from bulrushdale.control import control_pb2 as pb
+from bulrushdale.fleet import links
+from bulrushdale.fleet import members
+
+
+class Handlers:
+    """Notes what happens to links."""
+
+    def __init__(self) -> None:
+        self.events: list[tuple[str, links.Link]] = []
+
+    def heartbeat(self) -> pb.Heartbeat:
+        return pb.Heartbeat()
+
+    def opened(self, link: links.Link) -> None:
+        self.events.append(("opened", link))
+
+    def received(self, link: links.Link, frame: pb.Frame) -> None:
+        self.events.append(("received", link))
+
+    def lost(self, link: links.Link) -> None:
+        self.events.append(("lost", link))
+
+
+@pytest.fixture
+def handlers() -> Handlers:
+    return Handlers()
+
+
+@pytest.fixture
+def own(clock: clock_module.ManualClock, handlers: Handlers) -> links.Links:
+    member = members.Member("router-0", "mid-a")
+    known = members.Members(member, clock, 15_000)
+    return links.Links(
+        known, handlers, clock, "a-secret-of-the-fleet", 1_000, 3_500
+    )
+
+
+def hello(echo_ms: int = 0) -> pb.Frame:
+    return pb.Frame(
+        hello=pb.Hello(router="router-1", data_centre="mid-a"),
+        heartbeat=pb.Heartbeat(sent_ms=7, echo_ms=echo_ms),
+    )
+
+
+async def test_a_new_link_ends_what_the_older_one_held(own, handlers) -> None:
+    first = own._open(hello())
+    second = own._open(hello())
+    assert [(name, link) for name, link in handlers.events] == [
+        ("opened", first),
+        ("lost", first),
+        ("opened", second),
+    ]
+    own._lose(first)
+    assert own.get("router-1") is second
+    assert second.peer.linked
+
+
+async def test_a_lease_runs_from_the_own_clock(own, clock) -> None:
+    link = own._open(hello())
+    sent_ms = clock.now_ms()
+    clock.advance(6_000)
+    own._note_heartbeat(link, pb.Heartbeat(echo_ms=sent_ms))
+    assert clock.now_ms() - link.echo_ms == 6_000
+
+
+async def test_a_silent_link_is_closed(own, clock) -> None:
+    link = own._open(hello())
+    clock.advance(3_400)
+    own.beat()
+    assert not link.closed.is_set()
+    clock.advance(200)
+    own.beat()
+    assert link.closed.is_set()
+
+
+async def test_what_is_queued_between_two_writes_is_one_frame(own) -> None:
+    link = own._open(hello())
+    link.queue().releases.append(1)
+    link.queue().releases.append(2)
+    frame = await asyncio.wait_for(link.next_frame(), 1)
+    assert list(frame.releases) == [1, 2]
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda found: {},
+        lambda found: {**found, "x-proof": "0" * 64},
+        lambda found: {**found, "x-router": "router-2 1"},
+    ],
+)
+def test_wrong_credentials_are_refused(own, spoil) -> None:
+    good = own._credentials()
+    assert own._authentic(good)
+    assert not own._authentic(spoil(good))
+
+
+def test_old_credentials_are_refused(own, clock) -> None:
+    good = own._credentials()
+    clock.advance(links.AUTH_WINDOW_MS + 1)
+    assert not own._authentic(good)
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -185,3 +185,24 @@
     max_examples=12, stateful_step_count=25, derandomize=True, deadline=None
 )
 TestFleet = Fleet.TestCase
+
+
+def test_a_thawed_home_does_not_trust_what_it_knew(network) -> None:
+    old = home(network, "router-0")
+    near, far = [name for name in NAMES if name != old]
+    surge(network, near, 3)
+    network.nodes[old].frozen = True
+    network.step(8_000)
+    network.connect_all()
+    for name in (near, far):
+        surge(network, name, 8)
+    network.nodes[old].frozen = False
+    network.cuts = {frozenset((old, far))}
+    for other in (near, far):
+        network.close(network.nodes[old], other)
+    network.connect(old, near)
+    network.settle()
+    for _ in range(4):
+        network.step(200)
+        surge(network, near, 3)
+    assert network.broken == []
