Take test ports from below the range of outgoing connections

Cause: one of three deployments started at once failed with 'address already in use': a port that was free when chosen had become some connection's own port before the router listened. Ports from 10000 to 29999 are not given to connections (the range here is 32768 to 60999).

--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -9,6 +9,7 @@
 import contextlib
 import dataclasses
 import hashlib
+import itertools
 import os
 import pathlib
 import shutil
@@ -26,6 +27,9 @@
 OPERATOR_KEY = "operator-key"
 HOST = "127.0.0.1"
 READY_TIMEOUT_S = 40
+LOWEST_PORT = 10_000
+PORT_COUNT = 20_000
+_port_numbers = itertools.count(os.getpid() * 61)
 
 
 def sha256(text: str) -> str:
@@ -34,14 +38,18 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on."""
-    with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            sock = stack.enter_context(socket.socket())
-            sock.bind((HOST, 0))
-            ports.append(sock.getsockname()[1])
-        return ports
+    """Return ports that nothing listens on.
+
+    They lie below the ports that the system gives to outgoing
+    connections, so that none is taken before its process listens.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = LOWEST_PORT + next(_port_numbers) % PORT_COUNT
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((HOST, port))
+            ports.append(port)
+    return ports
 
 
 @dataclasses.dataclass
