--- a/src/bulrushdale/admission/desks.py
+++ b/src/bulrushdale/admission/desks.py
@@ -7,12 +7,9 @@
 from bulrushdale.admission import bound
 from bulrushdale.admission import desk as desk_module
 from bulrushdale.admission import queue
+from bulrushdale.admission import scope as scope_module
 from bulrushdale.admission import seat as seat_module
-from bulrushdale.catalogue import view as view_module
-from bulrushdale import clock as clock_module
 from bulrushdale.control import control_pb2 as pb
-from bulrushdale.fleet import links as links_module
-from bulrushdale.fleet import members as members_module
 from bulrushdale.fleet import targets as targets_module
 from bulrushdale import hashing
 
@@ -31,13 +28,7 @@
 class Desks:
     """All desks of one router.
 
-    :param own: this router's name.
-    :param view: the catalogue.
-    :param targets: the targets here.
-    :param members: the routers known.
-    :param links: the links to them.
-    :param clock: the clock.
-    :param lease_ms: how long an attachment holds without a heartbeat.
+    :param scope: what they work with.
     :param answer_own: called with replies to this router's own requests.
     :param rng: spreads the times to come back.
 
@@ -46,23 +37,17 @@
 
     def __init__(
         self,
-        own: str,
-        view: view_module.View,
-        targets: targets_module.Targets,
-        members: members_module.Members,
-        links: links_module.Links,
-        clock: clock_module.Clock,
-        lease_ms: int,
+        scope: scope_module.Scope,
         answer_own: AnswerOwn,
         rng: random.Random,
     ) -> None:
-        self._own = own
-        self._view = view
-        self._targets = targets
-        self._members = members
-        self._links = links
-        self._clock = clock
-        self._lease_ms = lease_ms
+        self._own = scope.own
+        self._view = scope.view
+        self._targets = scope.targets
+        self._members = scope.members
+        self._links = scope.links
+        self._clock = scope.clock
+        self._lease_ms = scope.lease_ms
         self._answer_own = answer_own
         self._rng = rng
         self._desks: dict[seat_module.ShardKey, desk_module.Desk] = {}
--- a/src/bulrushdale/admission/seats.py
+++ b/src/bulrushdale/admission/seats.py
@@ -8,12 +8,9 @@
 from bulrushdale.admission import desk as desk_module
 from bulrushdale.admission import desks as desks_module
 from bulrushdale.admission import queue
+from bulrushdale.admission import scope as scope_module
 from bulrushdale.admission import seat as seat_module
-from bulrushdale.catalogue import view as view_module
-from bulrushdale import clock as clock_module
 from bulrushdale.control import control_pb2 as pb
-from bulrushdale.fleet import links as links_module
-from bulrushdale.fleet import members as members_module
 from bulrushdale.fleet import targets as targets_module
 from bulrushdale import hashing
 from bulrushdale import results
@@ -32,13 +29,7 @@
 class Seats:
     """Gets and returns slots for the requests of one router.
 
-    :param own: this router's name.
-    :param view: the catalogue.
-    :param targets: the targets here.
-    :param members: the routers known.
-    :param links: the links to them.
-    :param clock: the clock.
-    :param lease_ms: how long a home counts this router as attached.
+    :param scope: what they work with.
     :param traceparent: returns the trace context to pass on, if any.
 
     .. versionadded:: 0.1
@@ -46,22 +37,16 @@
 
     def __init__(
         self,
-        own: str,
-        view: view_module.View,
-        targets: targets_module.Targets,
-        members: members_module.Members,
-        links: links_module.Links,
-        clock: clock_module.Clock,
-        lease_ms: int,
+        scope: scope_module.Scope,
         traceparent: typing.Callable[[], str] = str,
     ) -> None:
-        self._own = own
-        self._view = view
-        self._targets = targets
-        self._members = members
-        self._links = links
-        self._clock = clock
-        self._lease_ms = lease_ms
+        self._own = scope.own
+        self._view = scope.view
+        self._targets = scope.targets
+        self._members = scope.members
+        self._links = scope.links
+        self._clock = scope.clock
+        self._lease_ms = scope.lease_ms
         self._traceparent = traceparent
         self._eligible: list[str] = []
         self._seats: dict[seat_module.ShardKey, seat_module.Seat] = {}
--- a/src/bulrushdale/daemon.py
+++ b/src/bulrushdale/daemon.py
@@ -12,6 +12,7 @@
 import aiomisc
 
 from bulrushdale.admission import desks as desks_module
+from bulrushdale.admission import scope as scope_module
 from bulrushdale.admission import seats as seats_module
 from bulrushdale.answers import ids
 from bulrushdale.catalogue import fold
@@ -87,7 +88,7 @@
         settings.links.heartbeat_interval_ms,
         settings.links.switch_ms,
     )
-    seats = seats_module.Seats(
+    scope = scope_module.Scope(
         own.name,
         view,
         targets,
@@ -95,19 +96,9 @@
         links,
         clock,
         settings.links.lease_ms,
-        telemetry.traceparent,
-    )
-    desks = desks_module.Desks(
-        own.name,
-        view,
-        targets,
-        members,
-        links,
-        clock,
-        settings.links.lease_ms,
-        seats.answered_own,
-        random.Random(),
     )
+    seats = seats_module.Seats(scope, telemetry.traceparent)
+    desks = desks_module.Desks(scope, seats.answered_own, random.Random())
     seats.bind(desks)
     holder = holder_module.Holder(
         own.name,
--- a/tests/slot_network.py
+++ b/tests/slot_network.py
@@ -13,6 +13,7 @@
 
 from bulrushdale.admission import desks as desks_module
 from bulrushdale.admission import queue
+from bulrushdale.admission import scope as scope_module
 from bulrushdale.admission import seat as seat_module
 from bulrushdale.admission import seats as seats_module
 from bulrushdale.catalogue import entries
@@ -102,10 +103,18 @@
         self.links = Links()
         view = view_module.View(held)
         self.targets = targets_module.Targets(view, CENTRE, clock)
-        parts = (name, view, self.targets, self.members, self.links, clock)
-        self.seats = seats_module.Seats(*parts, LEASE_MS)
+        scope = scope_module.Scope(
+            name,
+            view,
+            self.targets,
+            self.members,
+            self.links,
+            clock,
+            LEASE_MS,
+        )
+        self.seats = seats_module.Seats(scope)
         self.desks = desks_module.Desks(
-            *parts, LEASE_MS, self.seats.answered_own, random.Random(seed)
+            scope, self.seats.answered_own, random.Random(seed)
         )
         self.seats.bind(self.desks)
         self.traffic = traffic.Traffic(clock)
