--- /dev/null
+++ b/examples/chat.py
@@ -0,0 +1,37 @@
+"""Streams one chat turn from a running router.
+
+``python -m examples.chat http://127.0.0.1:PORT``, with a deployment that
+``python -m examples.quickstart --stay`` started.
+"""
+
+import asyncio
+
+import click
+import openai
+
+
+async def ask(url: str, key: str, text: str) -> None:
+    """Print an answer as it comes, and what to resume it with."""
+    async with openai.AsyncOpenAI(base_url=f"{url}/v1", api_key=key) as client:
+        stream = await client.chat.completions.create(
+            model="loaf-1",
+            messages=[{"role": "user", "content": text}],
+            max_tokens=20,
+            stream=True,
+        )
+        async for chunk in stream:
+            click.echo(chunk.choices[0].delta.content or "", nl=False)
+    click.echo()
+
+
+@click.command()
+@click.argument("url")
+@click.option("--key", default="bakery-key", show_default=True)
+@click.option("--text", default="Which loaves have nuts?")
+def main(url: str, key: str, text: str) -> None:
+    """Stream one chat turn from the router at URL."""
+    asyncio.run(ask(url, key, text))
+
+
+if __name__ == "__main__":
+    main()
--- a/examples/quickstart.py
+++ b/examples/quickstart.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import signal
 import time
 
 import click
@@ -105,6 +106,7 @@
 @click.option("--stay", is_flag=True, help="Keep it up until Ctrl-C.")
 def main(stay: bool) -> None:
     """Start a deployment on loopback and send it some requests."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         asyncio.run(run(stay))
     except KeyboardInterrupt:
--- a/src/bulrushdale/admission/seats.py
+++ b/src/bulrushdale/admission/seats.py
@@ -152,6 +152,33 @@
         :return: its reply, whether it is recent, and the number asked by.
         """
         seq = next(self._seq) & SEQ_MASK
+        request = self._request(seat, seq, need, wait_ms)
+        request.excluded.extend(excluded)
+        request.resumed = resumed
+        future = asyncio.get_running_loop().create_future()
+        waiting = seat_module.Waiting(request, future, self._clock.now_ms())
+        reply = await self._reply(seat, waiting, wait_ms)
+        if reply.code == results.Code.OK:
+            seat.held[seq] = pb.HeldSlot(
+                seq=seq,
+                target=reply.target,
+                team=need.team,
+                tokens=need.tokens,
+            )
+        else:
+            del self._asked[seq]
+        spent_ms = self._clock.now_ms() - waiting.sent_ms
+        fresh = spent_ms - reply.waited_ms <= TRANSIT_LIMIT_MS
+        return reply, fresh, seq
+
+    def _request(
+        self,
+        seat: seat_module.Seat,
+        seq: int,
+        need: seat_module.Need,
+        wait_ms: int,
+    ) -> pb.SlotRequest:
+        """Return the message, without what the home can tell by itself."""
         request = pb.SlotRequest(
             seq=seq,
             pool=seat.key[0],
@@ -161,24 +188,30 @@
             team=need.team,
             service_class=need.service_class if need.lowered else "",
             tokens=need.tokens,
-            excluded=excluded,
-            resumed=resumed,
             traceparent=self._traceparent(),
         )
         if not request.chat_is_affinity:
             request.chat = need.chat
         if wait_ms < need.wait_ms:
             request.wait_ms = max(1, wait_ms)
-        future = asyncio.get_running_loop().create_future()
-        waiting = seat_module.Waiting(request, future, self._clock.now_ms())
+        return request
+
+    async def _reply(
+        self,
+        seat: seat_module.Seat,
+        waiting: seat_module.Waiting,
+        wait_ms: int,
+    ) -> desk_module.Reply:
+        """Send a request, again at each new home, until one replies."""
+        seq = waiting.request.seq
         seat.waiting[seq] = waiting
         self._asked[seq] = seat
+        limit_ms = max(0, wait_ms) + HOME_GRACE_MS
         try:
             if seat.home is not None:
                 self._send(seat, waiting)
-            limit_ms = max(0, wait_ms) + HOME_GRACE_MS
             async with asyncio.timeout(limit_ms / 1000):
-                reply = await future
+                return await waiting.future
         except TimeoutError:
             self._forget(seat, seq)
             raise results.refuse(
@@ -191,18 +224,6 @@
             raise
         finally:
             seat.waiting.pop(seq, None)
-        if reply.code == results.Code.OK:
-            seat.held[seq] = pb.HeldSlot(
-                seq=seq,
-                target=reply.target,
-                team=need.team,
-                tokens=need.tokens,
-            )
-        else:
-            del self._asked[seq]
-        spent_ms = self._clock.now_ms() - waiting.sent_ms
-        fresh = spent_ms - reply.waited_ms <= TRANSIT_LIMIT_MS
-        return reply, fresh, seq
 
     def _send(
         self, seat: seat_module.Seat, waiting: seat_module.Waiting
--- a/src/bulrushdale/web/chats.py
+++ b/src/bulrushdale/web/chats.py
@@ -7,6 +7,7 @@
 import typing
 
 from aiohttp import web
+import orjson
 
 from bulrushdale.admission import seat as seat_module
 from bulrushdale.answers import chat
@@ -27,6 +28,15 @@
 OVERLOAD_DELAY_MS = 50
 COME_BACK_MS = 1_000
 RESUME_WAIT_MS = 2_000
+# An answer that ends short, or whose chunks are not what they should be.
+BROKEN_ANSWER = (
+    source_module.CutError,
+    source_module.NotStartedError,
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -322,7 +332,7 @@
     )
     caller.story.step("cut", str(error))
     body = respond.error_body(refusal, caller.request_id)
-    return b"data: " + respond.orjson.dumps(body) + frames.FRAME_END
+    return b"data: " + orjson.dumps(body) + frames.FRAME_END
 
 
 async def _whole(
@@ -336,9 +346,7 @@
         async for batch in answer.batches:
             for data in batch:
                 whole.add(data)
-    except (source_module.CutError, source_module.NotStartedError) as error:
-        raise _not_whole(error) from error
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except BROKEN_ANSWER as error:
         raise _not_whole(error) from error
     finally:
         _close(parts, caller, answer)
