Spread homes evenly over the routers

Homes go to the first router of their rendezvous order that has no more than its even part now; a router that leaves moves fewer than 3 of 36 shards on average (test_homes). Rendezvous with more, smaller shards was ruled out: the mean load of a shard is what the bound compares with.

--- a/src/bulrushdale/admission/seats.py
+++ b/src/bulrushdale/admission/seats.py
@@ -7,6 +7,7 @@
 from bulrushdale.admission import choice
 from bulrushdale.admission import desk as desk_module
 from bulrushdale.admission import desks as desks_module
+from bulrushdale.admission import homes
 from bulrushdale.admission import queue
 from bulrushdale.admission import scope as scope_module
 from bulrushdale.admission import seat as seat_module
@@ -48,7 +49,12 @@
         self._clock = scope.clock
         self._lease_ms = scope.lease_ms
         self._traceparent = traceparent
-        self._eligible: list[str] = []
+        self._kept_for: tuple[list[str], int] = ([], -1)
+        self._assigned_for: tuple[list[str], set[seat_module.ShardKey]] = (
+            [],
+            set(),
+        )
+        self._homes: dict[seat_module.ShardKey, str] = {}
         self._seats: dict[seat_module.ShardKey, seat_module.Seat] = {}
         self._asked: dict[int, seat_module.Seat] = {}
         self._seq = itertools.count(1)
@@ -309,8 +315,9 @@
             for shard in range(self._targets.shard_count(pool)):
                 self._seat(pool, shard)
         eligible = self._members.eligible()
-        changed = eligible != self._eligible
-        self._eligible = eligible
+        state = (eligible, self._view.generation)
+        changed = state != self._kept_for
+        self._kept_for = state
         for seat in self._seats.values():
             if changed or seat.home is None:
                 self._keep(seat)
@@ -326,11 +333,18 @@
             self._leave(seat)
 
     def _wanted_home(self, seat: seat_module.Seat) -> str:
-        names = self._members.eligible()
-        if not names:
-            return self._own
-        label = f"{seat.key[0]}/{seat.key[1]}"
-        return hashing.winner(hashing.hash64(label.encode()), names)
+        names = self._members.eligible() or [self._own]
+        keys = {
+            (pool, shard)
+            for pool in self._view.pool_names()
+            for shard in range(self._targets.shard_count(pool))
+        }
+        keys.add(seat.key)
+        known = (names, keys)
+        if known != self._assigned_for:
+            self._homes = homes.assign(keys, names)
+            self._assigned_for = known
+        return self._homes[seat.key]
 
     def _leave(self, seat: seat_module.Seat) -> None:
         """Stop asking the old home, and wait until it knows."""
