Model the paused holder in the claims' state machine; list what failed first

A claim that lapses after 3 s passed every test: no freeze of a process fell between a won claim and its call. The state machine lets time pass and a holder pause there now. The checks that were there are unchanged.

--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -74,43 +74,73 @@
 
 
 class Holders(stateful.RuleBasedStateMachine):
-    """Routers claim, call, release and crash; appends repeat and lag.
+    """Routers claim, read back, pause, call, release; appends repeat and lag.
 
     Appends that were sent may land at any later time, several times, in
-    any order. Each router folds the log when it likes. The judge counts
-    calls for the key.
+    any order. A router that has read back that it won may pause for any
+    time before it calls. The judge counts calls for the key.
     """
 
     def __init__(self) -> None:
         super().__init__()
-        self.records: list[ledger.Item] = []
+        self.records: list[tuple[int, ledger.Item]] = []
         self.sent: list[ledger.Item] = []
         self.claims: dict[bytes, str] = {}
+        self.now_ms = 1_000_000
         self.calls = 0
 
-    @stateful.rule()
-    def claim(self) -> None:
+    def ledger(self) -> ledger.Ledger:
+        found = ledger.Ledger(LIFE_MS)
+        for offset, (time_ms, one) in enumerate(self.records):
+            found.fold(log.Record(offset, time_ms, ledger.encode([one])))
+        return found
+
+    def draw(self, data: st.DataObject, *states: str) -> bytes:
+        fit = [c for c, state in self.claims.items() if state in states]
+        return data.draw(st.sampled_from(fit))
+
+    @stateful.rule(
+        lands=st.booleans(), delta_ms=st.sampled_from([10, 5_000, 1_000_000])
+    )
+    def claim(self, lands: bool, delta_ms: int) -> None:
         name = f"c{len(self.claims)}".encode()
         self.claims[name] = "claimed"
         self.sent.append(item(Operation.CLAIM, name))
+        self.now_ms += delta_ms
+        if lands:
+            self.records.append((self.now_ms, self.sent[-1]))
 
     @stateful.precondition(lambda self: self.sent)
-    @stateful.rule(data=st.data())
-    def land(self, data: st.DataObject) -> None:
-        self.records.append(data.draw(st.sampled_from(self.sent)))
+    @stateful.rule(
+        data=st.data(), delta_ms=st.sampled_from([10, 5_000, 1_000_000])
+    )
+    def land(self, data: st.DataObject, delta_ms: int) -> None:
+        one = data.draw(st.sampled_from(self.sent))
+        self.now_ms += delta_ms
+        self.records.append((self.now_ms, one))
 
     @stateful.precondition(lambda self: "claimed" in self.claims.values())
-    @stateful.rule(data=st.data(), gives_up=st.booleans())
-    def decide(self, data: st.DataObject, gives_up: bool) -> None:
-        waiting = [c for c, state in self.claims.items() if state == "claimed"]
-        name = data.draw(st.sampled_from(waiting))
-        held = fold(self.records).held(KEY)
-        if gives_up:
-            self.claims[name] = "not run"
-            self.sent.append(item(Operation.RELEASE, name))
-        elif held is not None and held.claim_id == name:
-            self.claims[name] = "ran"
-            self.calls += 1
+    @stateful.rule(data=st.data())
+    def read_back(self, data: st.DataObject) -> None:
+        name = self.draw(data, "claimed")
+        held = self.ledger().held(KEY)
+        if held is not None and held.claim_id == name:
+            self.claims[name] = "won"
+
+    @stateful.precondition(lambda self: "won" in self.claims.values())
+    @stateful.rule(data=st.data())
+    def call(self, data: st.DataObject) -> None:
+        self.claims[self.draw(data, "won")] = "ran"
+        self.calls += 1
+
+    @stateful.precondition(
+        lambda self: {"claimed", "won"} & set(self.claims.values())
+    )
+    @stateful.rule(data=st.data())
+    def give_up(self, data: st.DataObject) -> None:
+        name = self.draw(data, "claimed", "won")
+        self.claims[name] = "not run"
+        self.sent.append(item(Operation.RELEASE, name))
 
     @stateful.precondition(lambda self: "ran" in self.claims.values())
     @stateful.rule()
