--- a/bench/pages.py
+++ b/bench/pages.py
@@ -52,9 +52,9 @@
 when calm and above it in churn. With three engines and a mean of a few
 requests, one request more is a skew above 1.25 by itself, and `ceil` in the
 bound allows it; in the surge's span the mean is near the slots. Where reuse
-in churn stays below hashing by chat, chats were sent away from their engine
-at the bound; a larger multiple c keeps more of them, at the price of skew.
-Hashing has no bound: its skew and its first tokens show that.
+stays below hashing by chat, chats were sent away from their engine at the
+bound; a larger multiple c keeps more of them, at the price of skew. Hashing
+has no bound: its skew and its first tokens show that.
 
 ## Relay
 
--- a/src/bulrushdale/admission/desk.py
+++ b/src/bulrushdale/admission/desk.py
@@ -162,6 +162,10 @@
         """Return the load of each target that has any."""
         return self._ledger.loads()
 
+    def bounds(self) -> dict[str, int]:
+        """Return the bound of each target that may get work now."""
+        return self._room(self._usable()).bounds
+
     def ask(self, ask: queue.Ask) -> None:
         """Grant a slot, queue the request, or refuse it at once.
 
@@ -229,7 +233,7 @@
         """Return the load and the bound of each target now."""
         self._ledger.age()
         standing = self._standing()
-        if not standing.majority:
+        if not targets or not standing.majority:
             return Room({}, {}, [])
         self._ledger.follow(standing)
         loads = {
--- a/src/bulrushdale/admission/desks.py
+++ b/src/bulrushdale/admission/desks.py
@@ -291,6 +291,7 @@
                 "in_flight": self._desks[key].in_flight,
                 "queued": self._desks[key].queued,
                 "loads": self._desks[key].loads(),
+                "bounds": self._desks[key].bounds(),
             }
             for key in self.active()
         ]
