--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -33,6 +33,9 @@
 LIST_CHANGE_BYTES = 150
 BUSIEST_SHARDS = 1
 PARTITIONS = 16
+ENTRY_STATE_MB = 0.5
+READER_CPU_PERCENT = 0.3
+READER_MB = 1.0
 BUSIEST_PARTITIONS = 2
 BENCHES = ("state", "peers", "relay", "slots", "streams", "machine")
 
@@ -111,7 +114,7 @@
             f"{rate:.0f} requests/s",
             rate * slot_bytes,
             rate * slot_cpu,
-            0.5,
+            ENTRY_STATE_MB,
         ),
         Row(
             "home of engines",
@@ -137,8 +140,8 @@
             "offset and list",
             "2 reads/s",
             changes * peers * (1.0 if busiest else 2 / here),
-            0.3 if busiest else 0.3 * 2 / here,
-            1.0,
+            READER_CPU_PERCENT * (1.0 if busiest else 2 / here),
+            READER_MB,
         ),
         Row(
             "duty of claims",
@@ -307,7 +310,12 @@
 **Assumed here, for want of the users' figures**: {ORDERS_PER_S} calls a second
 that may not be repeated, keys that live {KEY_LIFE_S} s,
 {TARGETS_PER_SHARD} targets in a shard, {CHANGE_BYTES} bytes for a changed
-entry, {LIST_CHANGE_BYTES} for a changed VM.
+entry, {LIST_CHANGE_BYTES} for a changed VM. Also assumed, not measured: an
+entry router spends on a slot what its home does; {ENTRY_STATE_MB} MB of seats;
+0.01% of a core for folding edits; {READER_CPU_PERCENT}% and {READER_MB} MB for
+reading the platform; 800 bytes on links for an order's claim and outcome.
+A slope below zero counts as zero, as that of a peer's CPU may: it is lost
+in the scatter.
 
 **Budget of control** for each router: {CPU_BUDGET_PERCENT}% of a core,
 {MEMORY_BUDGET_MB} MB, {BYTES_BUDGET / 1000:.0f} KB/s. The declared libraries
