--- a/src/bulrushdale/forwarding/attempt.py
+++ b/src/bulrushdale/forwarding/attempt.py
@@ -116,9 +116,7 @@
     return None
 
 
-async def read_whole(
-    opened: Opened, patience_ms: float
-) -> bytes | Unknown:
+async def read_whole(opened: Opened, patience_ms: float) -> bytes | Unknown:
     """Read the body of an answer to its end.
 
     :param opened: the answer.
--- a/src/bulrushdale/forwarding/callers.py
+++ b/src/bulrushdale/forwarding/callers.py
@@ -14,15 +14,30 @@
 class Activity:
     """Requests being served, and whether the router stops.
 
-    :ivar requests: how many are being served.
+    :ivar busy: the connections that a request is served on.
     :ivar draining: whether the router stops.
+    :ivar closed: whether it stops and takes no more requests.
     """
 
-    __slots__ = ("requests", "draining")
+    __slots__ = ("busy", "draining", "closed")
 
     def __init__(self) -> None:
-        self.requests = 0
+        self.busy: set[web.RequestHandler] = set()
         self.draining = False
+        self.closed = False
+
+    @property
+    def requests(self) -> int:
+        """How many requests are being served."""
+        return len(self.busy)
+
+    def close_idle(self, server: web.Server) -> None:
+        """Close connections without a request, the others after theirs."""
+        for connection in server.connections:
+            if connection in self.busy:
+                connection.close()
+            else:
+                connection.force_close()
 
 
 async def _read_body(request: web.BaseRequest, limit_bytes: int) -> bytes:
@@ -63,12 +78,13 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
-        self._activity.requests += 1
+        connection = request.protocol
+        self._activity.busy.add(connection)
         try:
             response = await self._answer(request)
         finally:
-            self._activity.requests -= 1
-        if self._activity.draining and not response.prepared:
+            self._activity.busy.discard(connection)
+        if self._activity.draining:
             response.force_close()
         return response
 
@@ -76,6 +92,12 @@
         received_ms = self._parts.clock.now_ms()
         request_id = ""
         try:
+            if self._activity.closed:
+                raise proxy.RefusedError(
+                    refusals.refuse(
+                        refusals.Reason.STOPPING, "this router stops"
+                    )
+                )
             body = await _read_body(request, self._body_limit_bytes())
             try:
                 call = self._parts.wire.decode_call(request, body)
@@ -113,5 +135,5 @@
     def _body_limit_bytes(self) -> int:
         configuration = self._parts.revisions.current
         if configuration is None:
-            return 0
+            raise proxy.RefusedError(access.not_ready())
         return configuration.limits.body_bytes
--- a/src/bulrushdale/forwarding/connections.py
+++ b/src/bulrushdale/forwarding/connections.py
@@ -125,8 +125,12 @@
         response_class=response_class,
         max_line_size=FIELD_BYTES,
         max_field_size=FIELD_BYTES,
-        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding",
-                           "Content-Type"),
+        skip_auto_headers=(
+            "User-Agent",
+            "Accept",
+            "Accept-Encoding",
+            "Content-Type",
+        ),
     )
     # aiohttp would send GETs again by itself when a connection is lost.
     session._retry_connection = False
--- a/src/bulrushdale/forwarding/events.py
+++ b/src/bulrushdale/forwarding/events.py
@@ -71,7 +71,7 @@
         count = 0
         for line in whole.splitlines():
             if line.startswith(_ID_FIELD):
-                self._follow(line[len(_ID_FIELD):])
+                self._follow(line[len(_ID_FIELD) :])
                 count += 1
         return Events(whole, self.last_id, count)
 
--- a/src/bulrushdale/forwarding/feed.py
+++ b/src/bulrushdale/forwarding/feed.py
@@ -12,7 +12,10 @@
 # Dropped keys are remembered for peers that read through this router; more
 # than a fleet's targets change within the life of the store's history.
 MOST_DROPPED = 2_000
-RETRY_DELAY_MS = 250
+RETRY_DELAY_MS = 400
+# Through an outage of the store itself no copy in the fleet is confirmed; one
+# that is younger than this was confirmed by a peer, and the store was there.
+OUTAGE_AGE_MS = 2_500
 
 Read = abc.Callable[[int | None], abc.Awaitable[records.Page]]
 Apply = abc.Callable[[str, bytes | None], None]
@@ -88,9 +91,7 @@
                 and known.value is not None
                 and known.offset < page.next_offset
             ):
-                dropped = records.KeyedRecord(
-                    page.next_offset - 1, key, None
-                )
+                dropped = records.KeyedRecord(page.next_offset - 1, key, None)
                 self._put(dropped)
 
     def _forget_dropped(self) -> None:
@@ -166,7 +167,7 @@
     :param read: reads from an offset on, or everything for none.
     :param read_peer: brings the feed up to date from another router.
     :param interval_ms: pause between reads.
-    :param back: called when the store is back after an outage.
+    :param back: called when the store is back after an outage for all.
     :param clock: the clock.
     """
     offset: int | None = None
@@ -187,7 +188,8 @@
             offset = feed.next_offset
             await clock.sleep_ms(RETRY_DELAY_MS)
             continue
-        if feed.note_back():
+        age_ms = feed.age_ms()
+        if feed.note_back() and (age_ms is None or age_ms > OUTAGE_AGE_MS):
             back()
         feed.take(page, asked_ms)
         offset = page.next_offset
--- a/src/bulrushdale/forwarding/links.py
+++ b/src/bulrushdale/forwarding/links.py
@@ -26,6 +26,8 @@
 LOG = logging.getLogger(__name__)
 
 PEER_TIMEOUT_MS = 500
+# Peers asked for records before the store is asked again.
+PEERS_ASKED = 3
 # Members named in one report; with more than that, a random choice.
 MOST_MEMBERS = 8
 
@@ -202,8 +204,12 @@
         """
         live = [report.address for report in self._peers.live()]
         addresses = live or self._peers.addresses()
-        for address in random.sample(addresses, min(2, len(addresses))):
-            if await self._read_records(feed, address):
+        asked = random.sample(addresses, min(PEERS_ASKED, len(addresses)))
+        for address in asked:
+            known_ms = feed.confirmed_ms
+            if not await self._read_records(feed, address):
+                continue
+            if known_ms is None or feed.confirmed_ms != known_ms:
                 return
 
     async def _read_records(
@@ -245,9 +251,7 @@
             )
             for offset, key, value in data["records"]
         ]
-        page = records.Page(
-            found, data["next_offset"], True, data["snapshot"]
-        )
+        page = records.Page(found, data["next_offset"], True, data["snapshot"])
         feed.take(page, asked_ms - data["age_ms"])
         LOG.info(
             "records read from a peer",
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -63,6 +63,7 @@
         "selection",
         "budget",
         "key_age_limit_ms",
+        "draining",
     )
 
     def __init__(
@@ -77,6 +78,7 @@
         selection: selection_module.Selection,
         budget: budget_module.RetryBudget,
         key_age_limit_ms: int | None,
+        draining: typing.Callable[[], bool],
     ) -> None:
         self.clock = clock
         self.wire = wire
@@ -88,6 +90,7 @@
         self.selection = selection
         self.budget = budget
         self.key_age_limit_ms = key_age_limit_ms
+        self.draining = draining
 
 
 class RefusedError(Exception):
@@ -236,9 +239,7 @@
         return RefusedError(refusals.refuse(reason, detail))
 
     def _may_run_again(self) -> bool:
-        return (
-            self._route.repeatable and self._runs < self._route.max_attempts
-        )
+        return self._route.repeatable and self._runs < self._route.max_attempts
 
     def _another(self) -> bool:
         """Whether another target could be asked after the present one."""
@@ -323,9 +324,7 @@
         if outcome.moved:
             target.leaving = True
 
-    def _note_failed(
-        self, target: targets_module.Target, reason: str
-    ) -> None:
+    def _note_failed(self, target: targets_module.Target, reason: str) -> None:
         """Log that a target failed the request; end it unless it may run
         again."""
         target.health.note(failed=True)
@@ -419,6 +418,8 @@
                 status=head.status,
                 headers=multidict.CIMultiDict(head.headers),
             )
+            if self._parts.draining():
+                self._response.force_close()
             self._log("request.first_event")
             await self._response.prepare(self._request)
         return self._response
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -45,6 +45,9 @@
 # A target that could not be reached is tried again this often.
 CONNECT_CHECK_INTERVAL_MS = 500
 DRAIN_POLL_MS = 50
+# Callers use connections that were idle for up to 12 s again; a connection
+# costs little, and closing one early costs its caller a try.
+CALLER_IDLE_S = 75
 # Callers' balancer notices within two checks that a router stops; new
 # connections that are on their way by then are still taken.
 DRAIN_NOTICE_MS = 2_500
@@ -61,17 +64,17 @@
         self._stack = contextlib.AsyncExitStack()
         await self._wire()
         await self._links.start()
-        self._work = [
-            asyncio.create_task(job) for job in self._jobs()
-        ]
-        self._callers = await self._listen(
+        self._work = [asyncio.create_task(job) for job in self._jobs()]
+        self._callers_server = _server(
             callers.Callers(
                 self._parts, self._activity, headers.CallError
-            ).handle,
-            self.settings.caller_port,
+            ).handle
+        )
+        self._callers = await self._listen(
+            self._callers_server, self.settings.caller_port
         )
         self._ready = await self._listen(
-            self._tell_ready, self.settings.ready_port
+            _server(self._tell_ready), self.settings.ready_port
         )
         LOG.info("router started", extra={"event": "router.started"})
 
@@ -103,7 +106,6 @@
             for name, apply in (
                 ("configuration", self._apply_configuration),
                 ("targets", self._apply_listing),
-                ("routers", self._apply_router),
             )
         }
         self._links = links_module.Links(
@@ -134,6 +136,7 @@
                 settings.retry_window_ms,
             ),
             key_age_limit_ms=settings.key_age_limit_ms,
+            draining=lambda: self._activity.draining,
         )
 
     def _apply_configuration(self, key: str, value: bytes | None) -> None:
@@ -166,10 +169,6 @@
                 },
             )
 
-    def _apply_router(self, key: str, value: bytes | None) -> None:
-        if value is not None:
-            self._peers.introduce(key)
-
     def _jobs(self) -> list[abc.Coroutine[None, None, None]]:
         return [
             self._follow(
@@ -181,9 +180,7 @@
             self._follow(
                 "targets", store_module.TARGETS_TOPIC, 0, TARGETS_INTERVAL_MS
             ),
-            self._follow(
-                "routers", store_module.ROUTERS_TOPIC, 0, ROUTERS_INTERVAL_MS
-            ),
+            self._find_routers(),
             self._register(),
             self._every(REPORT_INTERVAL_MS, self._report),
             self._every(EXPIRE_INTERVAL_MS, self._expire),
@@ -207,6 +204,21 @@
             self._clock,
         )
 
+    async def _find_routers(self) -> None:
+        """Read where other routers are; reports name the rest."""
+        while True:
+            try:
+                page = await self._store.newest(store_module.ROUTERS_TOPIC)
+            except feed_module.records.SourceError as error:
+                LOG.warning(
+                    "routers can't be read",
+                    extra={"event": "router.list", "reason": str(error)},
+                )
+            else:
+                for record in page.records:
+                    self._peers.introduce(record.key)
+            await self._clock.sleep_ms(ROUTERS_INTERVAL_MS)
+
     async def _register(self) -> None:
         """Tell the other routers, through the store, where this one is."""
         settings = self.settings
@@ -278,9 +290,7 @@
     async def _check(self, target: targets_module.Target) -> None:
         host, _, port = target.address.rpartition(":")
         try:
-            async with asyncio.timeout(
-                connections.CONNECT_TIMEOUT_MS / 1000
-            ):
+            async with asyncio.timeout(connections.CONNECT_TIMEOUT_MS / 1000):
                 _, writer = await asyncio.open_connection(host, int(port))
         except (OSError, TimeoutError):
             return
@@ -294,21 +304,7 @@
             },
         )
 
-    async def _listen(
-        self,
-        handler: abc.Callable[
-            [web.BaseRequest], abc.Awaitable[web.StreamResponse]
-        ],
-        port: int,
-    ) -> web.ServerRunner:
-        server = web.Server(
-            handler,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=75,
-            max_line_size=connections.FIELD_BYTES,
-            max_field_size=connections.FIELD_BYTES,
-        )
+    async def _listen(self, server: web.Server, port: int) -> web.ServerRunner:
         runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await runner.setup()
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -345,10 +341,13 @@
             },
         )
         deadline_ms = self._clock.now_ms() + self.settings.drain_timeout_ms
+        self._activity.close_idle(self._callers_server)
         await self._clock.sleep_ms(DRAIN_NOTICE_MS)
-        while (
-            self._activity.requests and self._clock.now_ms() < deadline_ms
-        ):
+        for site in list(self._callers.sites):
+            await site.stop()
+        self._activity.close_idle(self._callers_server)
+        self._activity.closed = True
+        while self._activity.requests and self._clock.now_ms() < deadline_ms:
             await self._clock.sleep_ms(DRAIN_POLL_MS)
         LOG.info(
             "router stops",
@@ -365,6 +364,21 @@
         await self._stack.aclose()
 
 
+def _server(
+    handler: abc.Callable[
+        [web.BaseRequest], abc.Awaitable[web.StreamResponse]
+    ],
+) -> web.Server:
+    return web.Server(
+        handler,
+        handler_cancellation=True,
+        access_log=None,
+        keepalive_timeout=CALLER_IDLE_S,
+        max_line_size=connections.FIELD_BYTES,
+        max_field_size=connections.FIELD_BYTES,
+    )
+
+
 def main() -> None:
     """Run a router with the settings that the platform provides."""
     try:
--- a/src/bulrushdale/platform/headers.py
+++ b/src/bulrushdale/platform/headers.py
@@ -117,7 +117,7 @@
     value = headers.get(_KEY, "")
     if value[: len(_KEY_SCHEME)].lower() != _KEY_SCHEME:
         return ""
-    return value[len(_KEY_SCHEME):].strip()
+    return value[len(_KEY_SCHEME) :].strip()
 
 
 def decode_call(request: web.BaseRequest, body: bytes) -> calls.Call:
--- a/src/bulrushdale/platform/store.py
+++ b/src/bulrushdale/platform/store.py
@@ -39,8 +39,10 @@
     return len(content).to_bytes(_LENGTH_BYTES, "big") + content
 
 
-def _decode_records(offset: int, data: bytes) -> list[records_module.KeyedRecord]:
-    records = []
+def _decode_records(
+    offset: int, data: bytes
+) -> list[records_module.KeyedRecord]:
+    records: list[records_module.KeyedRecord] = []
     place = 0
     while place + _LENGTH_BYTES <= len(data):
         length = int.from_bytes(data[place : place + _LENGTH_BYTES], "big")
@@ -54,7 +56,9 @@
                 "record skipped",
                 extra={"event": "store.bad_record", "reason": repr(error)},
             )
-            records.append(records_module.KeyedRecord(offset + len(records), "", None))
+            records.append(
+                records_module.KeyedRecord(offset + len(records), "", None)
+            )
     return records
 
 
@@ -94,10 +98,14 @@
         if response.status == 410:
             raise records_module.HistoryGoneError(name)
         if response.status != 200:
-            raise records_module.SourceError(f"{name} answered {response.status}")
+            raise records_module.SourceError(
+                f"{name} answered {response.status}"
+            )
         return data
 
-    async def read(self, topic: str, offset: int, wait_ms: int = 0) -> records_module.Page:
+    async def read(
+        self, topic: str, offset: int, wait_ms: int = 0
+    ) -> records_module.Page:
         """Read records from an offset on.
 
         :param topic: a keyed topic.
@@ -115,7 +123,9 @@
         end = int.from_bytes(data[:_OFFSET_BYTES], "big")
         records = _decode_records(offset, data[2 * _OFFSET_BYTES :])
         next_offset = offset + len(records)
-        return records_module.Page(records, next_offset, next_offset >= end, False)
+        return records_module.Page(
+            records, next_offset, next_offset >= end, False
+        )
 
     async def newest(self, topic: str) -> records_module.Page:
         """Read the newest record of each key.
--- a/src/bulrushdale/routing/access.py
+++ b/src/bulrushdale/routing/access.py
@@ -42,9 +42,7 @@
     configuration = revisions.current
     age_ms = revisions.age_ms()
     if configuration is None or age_ms is None:
-        return refusals.refuse(
-            refusals.Reason.NOT_READY, "no configuration is known yet"
-        )
+        return not_ready()
     current = age_ms <= CURRENT_MS
     route = configuration.match(call.host, call.path)
     if route is None:
@@ -67,6 +65,13 @@
     )
 
 
+def not_ready() -> refusals.Refusal:
+    """Return the refusal of a router that knows no configuration yet."""
+    return refusals.refuse(
+        refusals.Reason.NOT_READY, "no configuration is known yet"
+    )
+
+
 def _outdated(age_ms: int) -> refusals.Refusal:
     return refusals.refuse(
         refusals.Reason.KEYS_TOO_OLD,
--- a/src/bulrushdale/routing/health.py
+++ b/src/bulrushdale/routing/health.py
@@ -56,8 +56,8 @@
 
     def __init__(self, clock: clock_module.Clock) -> None:
         self._clock = clock
-        self._results: collections.deque[tuple[int, bool]] = (
-            collections.deque(maxlen=256)
+        self._results: collections.deque[tuple[int, bool]] = collections.deque(
+            maxlen=256
         )
         self._rest_until_ms = 0
         self.unreachable = False
--- a/src/bulrushdale/routing/patience.py
+++ b/src/bulrushdale/routing/patience.py
@@ -23,9 +23,7 @@
 LEAST_LEFT_MS = 20
 
 
-def for_answer(
-    route: routes.Route, left_ms: float, another: bool
-) -> float:
+def for_answer(route: routes.Route, left_ms: float, another: bool) -> float:
     """Return how long to wait for an answer's first bytes, in ms.
 
     :param route: the request's route.
@@ -38,9 +36,7 @@
     return min(patience_ms, left_ms + LATE_MS)
 
 
-def for_event(
-    route: routes.Route, left_ms: float, another: bool
-) -> float:
+def for_event(route: routes.Route, left_ms: float, another: bool) -> float:
     """Return how long to wait for a stream's next event, in ms.
 
     :param route: the request's route.
--- a/src/bulrushdale/routing/placement.py
+++ b/src/bulrushdale/routing/placement.py
@@ -69,9 +69,7 @@
     return min(candidates, key=lambda candidate: candidate.load)
 
 
-def by_load(
-    candidates: abc.Sequence[Candidate], spread: str
-) -> Candidate:
+def by_load(candidates: abc.Sequence[Candidate], spread: str) -> Candidate:
     """Choose the least loaded target, a near one if that is as good.
 
     :param candidates: at least one.
--- a/src/bulrushdale/routing/refusals.py
+++ b/src/bulrushdale/routing/refusals.py
@@ -21,6 +21,7 @@
     KEYS_TOO_OLD = (3009, 503)
     OVERLOADED = (3010, 503)
     DEADLINE = (3011, 503)
+    STOPPING = (3012, 503)
     TARGET_FAILED = (4001, 502)
     ANSWER_LATE = (4006, 504)
 
--- a/src/bulrushdale/routing/selection.py
+++ b/src/bulrushdale/routing/selection.py
@@ -89,8 +89,7 @@
         """Set targets aside that fail far more than their service."""
         staying = self._targets.staying(service)
         results = {
-            t.target_id: t.health.results()
-            + self._peers.results(t.target_id)
+            t.target_id: t.health.results() + self._peers.results(t.target_id)
             for t in staying
         }
         total = sum(results.values(), health.Results(0, 0))
--- a/src/bulrushdale/routing/targets.py
+++ b/src/bulrushdale/routing/targets.py
@@ -47,7 +47,7 @@
     :param clock: the clock.
 
     :ivar leaving: whether it gets no new work; never taken back.
-    :ivar lapsed_ms: when its entry lapsed, if that may be the store's fault.
+    :ivar lapsed: whether its entry is missing, perhaps by the store's fault.
     :ivar in_flight: requests that this router has there.
     :ivar reported: the load that it reported last.
     :ivar health: results of its requests.
@@ -56,7 +56,7 @@
     __slots__ = (
         "listing",
         "leaving",
-        "lapsed_ms",
+        "lapsed",
         "in_flight",
         "reported",
         "health",
@@ -66,7 +66,7 @@
     def __init__(self, listing: Listing, clock: clock_module.Clock) -> None:
         self.listing = listing
         self.leaving = listing.leaving
-        self.lapsed_ms: int | None = None
+        self.lapsed = False
         self.in_flight = 0
         self.reported: calls.Load | None = None
         self.health = health_module.Health(clock)
@@ -106,7 +106,7 @@
         if listing.leaving and not known.leaving:
             known.leaving = True
             self._log("target.leaving", known, "says that it leaves")
-        known.lapsed_ms = None
+        known.lapsed = False
         if known.listing.address != listing.address:
             self._log("target.moved", known, listing.address)
         known.listing = listing
@@ -145,24 +145,23 @@
         target = self._targets.get(target_id)
         if target is None:
             return
-        now_ms = self._clock.now_ms()
-        if now_ms < self._away_until_ms and not target.leaving:
-            target.lapsed_ms = now_ms
+        away = self._clock.now_ms() < self._away_until_ms
+        if away and not target.leaving:
+            target.lapsed = True
             self._log("target.lapsed", target, "entry lapsed in an outage")
             return
         self._drop(target, "entry removed")
 
     def note_store_back(self) -> None:
-        """Note that the list can be read again after an outage."""
+        """Note that the store is back, which was away for all routers."""
         self._away_until_ms = self._clock.now_ms() + LAPSE_GRACE_MS
 
     def expire(self) -> None:
         """Drop targets whose entry lapsed and didn't come back in time."""
+        if self._clock.now_ms() < self._away_until_ms:
+            return
         for target in list(self._targets.values()):
-            if (
-                target.lapsed_ms is not None
-                and self._clock.now_ms() - target.lapsed_ms >= LAPSE_GRACE_MS
-            ):
+            if target.lapsed:
                 self._drop(target, "entry didn't come back")
 
     def get(self, target_id: str) -> Target | None:
