--- a/src/bulrushdale/forwarding/links.py
+++ b/src/bulrushdale/forwarding/links.py
@@ -22,6 +22,7 @@
 from bulrushdale.forwarding import records
 from bulrushdale.routing import health
 from bulrushdale.routing import peers as peers_module
+from bulrushdale.routing import residence as residence_module
 
 LOG = logging.getLogger(__name__)
 
@@ -51,6 +52,7 @@
                 for target_id, part in report.targets.items()
             },
             report.members,
+            list(report.places.items()),
         ]
     )
 
@@ -61,9 +63,9 @@
     :raises ValueError: if it holds none.
     """
     try:
-        name, address, centre, started, sequence, version, parts, members = (
-            orjson.loads(data)
-        )
+        fields = orjson.loads(data)
+        name, address, centre, started, sequence, version = fields[:6]
+        parts, members, places = fields[6:]
         targets = {
             target_id: peers_module.TargetReport(
                 in_flight, health.Results(done, failed)
@@ -81,6 +83,7 @@
         version,
         targets,
         tuple(members),
+        dict(places),
     )
 
 
@@ -102,6 +105,7 @@
 
     :param address: this router's IP and port for links.
     :param peers: what other routers report.
+    :param residence: prefixes that live elsewhere than hashing puts them.
     :param feeds: by name, what peers may read here.
     :param session: the HTTP session to other routers.
     :param clock: the clock.
@@ -110,6 +114,7 @@
     __slots__ = (
         "_address",
         "_peers",
+        "_residence",
         "_feeds",
         "_session",
         "_clock",
@@ -121,12 +126,14 @@
         self,
         address: str,
         peers: peers_module.Peers,
+        residence: residence_module.Residence,
         feeds: abc.Mapping[str, feed_module.Feed],
         session: aiohttp.ClientSession,
         clock: clock_module.Clock,
     ) -> None:
         self._address = address
         self._peers = peers
+        self._residence = residence
         self._feeds = feeds
         self._session = session
         self._clock = clock
@@ -155,7 +162,9 @@
 
     def _take(self, data: bytes) -> None:
         try:
-            self._peers.take(decode_report(data))
+            report = decode_report(data)
+            if self._peers.take(report):
+                self._residence.learn(report.places)
         except ValueError as error:
             LOG.warning(
                 "report skipped",
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -244,8 +244,7 @@
     def _another(self) -> bool:
         """Whether another target could be asked after the present one."""
         return (
-            self._route.repeatable
-            and self._runs + 1 < self._route.max_attempts
+            self._may_run_again()
             and len(self._parts.targets.staying(self._service))
             > len(self._tried)
             and self._parts.budget.left(
@@ -262,6 +261,7 @@
         :return: the final answer; none if another target is to be tried.
         """
         left_ms = self._left_ms()
+        self._runs += 1
         outcome = await attempt.open_answer(
             self._session(),
             target.address,
@@ -271,15 +271,14 @@
             patience.for_answer(self._route, left_ms, self._another()),
         )
         if isinstance(outcome, attempt.NotRun):
+            self._runs -= 1
             self._note_not_run(target, outcome)
             return None
         if isinstance(outcome, attempt.Unknown):
-            self._runs += 1
             self._offers += 1
             self._note_failed(target, outcome.reason)
             return None
         self._offers += 1
-        self._runs += 1
         target.reported = outcome.head.load or target.reported
         if self._route.kind is routes.Kind.STREAM and outcome.head.success:
             return await self._relay_stream(target, outcome)
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -25,6 +25,7 @@
 from bulrushdale.platform import store as store_module
 from bulrushdale.routing import budget as budget_module
 from bulrushdale.routing import peers as peers_module
+from bulrushdale.routing import residence as residence_module
 from bulrushdale.routing import revisions as revisions_module
 from bulrushdale.routing import selection as selection_module
 from bulrushdale.routing import targets as targets_module
@@ -108,8 +109,14 @@
                 ("targets", self._apply_listing),
             )
         }
+        self._residence = residence_module.Residence(clock)
         self._links = links_module.Links(
-            address, self._peers, self._feeds, own_session, clock
+            address,
+            self._peers,
+            self._residence,
+            self._feeds,
+            own_session,
+            clock,
         )
         self._activity = callers.Activity()
         self._sequence = 0
@@ -127,7 +134,11 @@
             targets=self._targets,
             peers=self._peers,
             selection=selection_module.Selection(
-                settings.data_centre, self._targets, self._peers, clock
+                settings.data_centre,
+                self._targets,
+                self._peers,
+                self._residence,
+                clock,
             ),
             budget=budget_module.RetryBudget(
                 clock,
@@ -269,6 +280,7 @@
                 current.version if current else 0,
                 parts,
                 links_module.pick_members(self._peers),
+                self._residence.take_news(),
             )
         )
 
--- a/src/bulrushdale/routing/calls.py
+++ b/src/bulrushdale/routing/calls.py
@@ -50,12 +50,17 @@
     prompt_tokens: int
     output_tokens: int
 
-    @property
-    def affinity(self) -> str:
-        """Id of the longest part that other requests share."""
+    def affinity(self, by_first_part: bool) -> str:
+        """Return the id of the shared part that decides its placement.
+
+        :param by_first_part: whether that is the first part, not the last
+            one that other requests share.
+        """
         if not self.prompt:
             return ""
-        return self.prompt[-2 if len(self.prompt) > 1 else 0].part_id
+        if by_first_part or len(self.prompt) == 1:
+            return self.prompt[0].part_id
+        return self.prompt[-2].part_id
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/bulrushdale/routing/peers.py
+++ b/src/bulrushdale/routing/peers.py
@@ -37,6 +37,7 @@
     :param version: the configuration in force there; 0 for none.
     :param targets: its part in each target's load.
     :param members: addresses of routers that it heard of lately.
+    :param places: prefixes that it placed elsewhere than hashing puts them.
     """
 
     router: str
@@ -47,6 +48,7 @@
     version: int
     targets: abc.Mapping[str, TargetReport]
     members: tuple[str, ...] = ()
+    places: abc.Mapping[int, str] = dataclasses.field(default_factory=dict)
 
 
 class Peers:
@@ -69,21 +71,25 @@
         if address != self._own_address:
             self._known_ms.setdefault(address, self._clock.now_ms())
 
-    def take(self, report: Report) -> None:
-        """Take over a report unless a newer one was taken."""
+    def take(self, report: Report) -> bool:
+        """Take over a report unless a newer one was taken.
+
+        :return: whether it was taken.
+        """
         if report.address == self._own_address:
-            return
+            return False
         known = self._reports.get(report.address)
         place = (report.started_ms, report.sequence)
         if known is not None:
             newest = (known[1].started_ms, known[1].sequence)
             if place <= newest:
-                return
+                return False
         now_ms = self._clock.now_ms()
         self._reports[report.address] = (now_ms, report)
         self._known_ms[report.address] = now_ms
         for address in report.members:
             self.introduce(address)
+        return True
 
     def _fresh(self, life_ms: int) -> abc.Iterator[Report]:
         oldest_ms = self._clock.now_ms() - life_ms
--- a/src/bulrushdale/routing/placement.py
+++ b/src/bulrushdale/routing/placement.py
@@ -15,7 +15,7 @@
 # The bound on a target's load: so many times the mean, plus a constant that
 # lets small numbers vary. The users bear twice the mean plus three; the gap
 # covers what other routers placed since their last report.
-BOUND_OF_MEAN = 1.5
+BOUND_OF_MEAN = 2.0
 BOUND_EXTRA = 1.5
 # Load that a target in another data centre counts more when nothing ties a
 # request to a target: traffic between data centres is paid for.
@@ -33,6 +33,8 @@
     :param slots: requests that it runs at once.
     :param local: whether it is in the router's data centre.
     :param slow: whether it is slow after its start.
+    :param new: whether it joined so lately that prefixes in use stay where
+        they are; it gets what is above the others' bound.
     """
 
     target_id: str
@@ -40,6 +42,7 @@
     slots: int
     local: bool
     slow: bool = False
+    new: bool = False
 
 
 def load_bound(loads: abc.Collection[int]) -> float:
@@ -52,17 +55,25 @@
 
 
 def by_prefix(
-    affinity: str, candidates: abc.Sequence[Candidate], bound: float
+    key: int,
+    candidates: abc.Sequence[Candidate],
+    bound: float,
+    lives_at: str | None,
 ) -> Candidate:
     """Choose the first target of the prefix's order within the bound.
 
-    :param affinity: id of the longest shared part of the prompt.
+    :param key: hash of the shared part of the prompt.
     :param candidates: at least one.
     :param bound: most requests that a target may have.
+    :param lives_at: the target that comes first for once, as it has the
+        prefix in its cache; none for the usual order.
     :return: the least loaded if all are above the bound.
     """
     by_id = {candidate.target_id: candidate for candidate in candidates}
-    order = hashing.rendezvous(hashing.hash64(affinity.encode()), by_id)
+    settled = [c.target_id for c in candidates if not c.new]
+    order = hashing.rendezvous(key, settled or by_id)
+    if lives_at in by_id:
+        order.insert(0, lives_at)
     for target_id in order:
         if by_id[target_id].load + 1 <= bound:
             return by_id[target_id]
--- a/src/bulrushdale/routing/selection.py
+++ b/src/bulrushdale/routing/selection.py
@@ -3,10 +3,13 @@
 from collections import abc
 
 from bulrushdale import clock as clock_module
+from bulrushdale import hashing
 from bulrushdale.routing import calls
+from bulrushdale.routing import grouping as grouping_module
 from bulrushdale.routing import health
 from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import placement
+from bulrushdale.routing import residence as residence_module
 from bulrushdale.routing import routes
 from bulrushdale.routing import targets as targets_module
 
@@ -17,21 +20,32 @@
     :param data_centre: where this router runs.
     :param targets: all targets.
     :param peers: what other routers report.
+    :param residence: prefixes that live elsewhere than hashing puts them.
     :param clock: the clock.
     """
 
-    __slots__ = ("_data_centre", "_targets", "_peers", "_clock")
+    __slots__ = (
+        "_data_centre",
+        "_targets",
+        "_peers",
+        "_residence",
+        "_grouping",
+        "_clock",
+    )
 
     def __init__(
         self,
         data_centre: str,
         targets: targets_module.Targets,
         peers: peers_module.Peers,
+        residence: residence_module.Residence,
         clock: clock_module.Clock,
     ) -> None:
         self._data_centre = data_centre
         self._targets = targets
         self._peers = peers
+        self._residence = residence
+        self._grouping = grouping_module.Grouping()
         self._clock = clock
 
     def load(self, target: targets_module.Target) -> int:
@@ -68,15 +82,35 @@
                 t.listing.slots,
                 t.listing.data_centre == self._data_centre,
                 now_ms < t.slow_until_ms,
+                now_ms - t.listed_ms < residence_module.MEMORY_MS,
             )
             for t in fit
         ]
-        if route.by_prefix and call.affinity:
-            found = placement.by_prefix(call.affinity, candidates, bound)
+        if route.by_prefix and call.prompt:
+            found = self._by_prefix(call, route, candidates, bound, loads)
         else:
             found = placement.by_load(candidates, call.request_id)
         return self._targets.get(found.target_id)
 
+    def _by_prefix(
+        self,
+        call: calls.Call,
+        route: routes.Route,
+        candidates: list[placement.Candidate],
+        bound: float,
+        staying: abc.Collection[str],
+    ) -> placement.Candidate:
+        first_part = call.prompt[0].part_id
+        self._grouping.note(route.name, first_part, call.prompt_tokens)
+        together = self._grouping.by_first_part(route.name, len(staying))
+        key = hashing.hash64(call.affinity(together).encode())
+        found = placement.by_prefix(
+            key, candidates, bound, self._residence.find(key)
+        )
+        usual = hashing.winner(key, staying)
+        self._residence.note(key, found.target_id, usual)
+        return found
+
     def _fit(
         self, staying: list[targets_module.Target]
     ) -> list[targets_module.Target]:
--- a/src/bulrushdale/routing/targets.py
+++ b/src/bulrushdale/routing/targets.py
@@ -51,6 +51,8 @@
     :ivar in_flight: requests that this router has there.
     :ivar reported: the load that it reported last.
     :ivar health: results of its requests.
+    :ivar slow_until_ms: when it is up to speed after its start.
+    :ivar listed_ms: when this router first saw it in the list.
     """
 
     __slots__ = (
@@ -61,6 +63,7 @@
         "reported",
         "health",
         "slow_until_ms",
+        "listed_ms",
     )
 
     def __init__(self, listing: Listing, clock: clock_module.Clock) -> None:
@@ -71,6 +74,7 @@
         self.reported: calls.Load | None = None
         self.health = health_module.Health(clock)
         self.slow_until_ms = clock.now_ms() + listing.slow_start_ms
+        self.listed_ms = clock.now_ms()
 
     @property
     def target_id(self) -> str:
