Pass on only events that follow in order; test requests against targets that fail

Cause: a chunk with a good event and one out of order moved the stream's position past the good event without passing it on, so the resumed stream missed it (test_stream_is_resumed_in_order[skip_event] failed first). Answers to earlier requests are passed over where messages are read: after such an answer the response had lost its connection (test_answer_to_another_request_is_passed_over failed first).

--- /dev/null
+++ b/examples/standins/scripted_target.py
@@ -0,0 +1,130 @@
+"""A stand-in target whose answers, whole or spoilt, a test writes itself."""
+
+import asyncio
+from collections import abc
+import contextlib
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Received:
+    """A request as it arrived.
+
+    :param line: the request line.
+    :param headers: names in lower case.
+    :param body: the whole body.
+    """
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def request_id(self) -> str:
+        return self.headers.get("x-request-id", "")
+
+
+Script = abc.Callable[
+    [Received, asyncio.StreamWriter], abc.Awaitable[bool | None]
+]
+
+
+def answer(
+    request: Received,
+    status: str = "200 OK",
+    body: bytes = b"ok",
+    **extra: str,
+) -> bytes:
+    """Return a signed answer with a length."""
+    headers = {
+        "X-Request-Id": request.request_id,
+        "X-Server-Seal": "seal",
+        "Content-Length": str(len(body)),
+        **{name.replace("_", "-"): value for name, value in extra.items()},
+    }
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    return f"HTTP/1.1 {status}\r\n{lines}\r\n".encode() + body
+
+
+def stream_head(request: Received) -> bytes:
+    """Return the head of a stream in chunks."""
+    return (
+        "HTTP/1.1 200 OK\r\n"
+        f"X-Request-Id: {request.request_id}\r\n"
+        "X-Server-Seal: seal\r\n"
+        "Content-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+def chunk(data: bytes) -> bytes:
+    """Return one chunk; an empty one ends the body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def event(number: int) -> bytes:
+    """Return a server-sent event."""
+    return b"id: %d\ndata: %d\n\n" % (number, number)
+
+
+class ScriptedTarget:
+    """Serves requests one after the other on each connection.
+
+    :ivar script: answers a request; a false result closes the connection.
+    :ivar received: every request so far.
+    :ivar closed: request ids whose connection the caller closed meanwhile.
+    """
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.received: list[Received] = []
+        self.closed: list[str] = []
+        self._server: asyncio.Server | None = None
+        self.address = ""
+
+    async def start(self, host: str = "127.0.0.1") -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, host, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Close the port."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                request = await _read_request(reader)
+                self.received.append(request)
+                work = asyncio.ensure_future(self.script(request, writer))
+                gone = asyncio.ensure_future(reader.read(1))
+                await asyncio.wait(
+                    {work, gone}, return_when=asyncio.FIRST_COMPLETED
+                )
+                if not work.done():
+                    work.cancel()
+                    self.closed.append(request.request_id)
+                    break
+                gone.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await gone
+                if work.result() is False:
+                    break
+                await writer.drain()
+        writer.close()
+
+
+async def _read_request(reader: asyncio.StreamReader) -> Received:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    line, *fields = head.strip().split("\r\n")
+    headers = {}
+    for field in fields:
+        name, _, value = field.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    length = int(headers.get("content-length", 0))
+    body = await reader.readexactly(length) if length else b""
+    return Received(line, headers, body)
--- a/src/bulrushdale/forwarding/connections.py
+++ b/src/bulrushdale/forwarding/connections.py
@@ -50,12 +50,43 @@
 
 
 class _Protocol(client_proto.ResponseHandler):
-    """Fails an answer without a length whose connection was reset.
+    """Reads answers from a connection that may hold more than it should.
 
-    aiohttp takes any end of the connection for the end of such an answer.
+    :ivar id_header: the header by which a target names the request.
+    :ivar expected_id: the request that is waited for; none for any.
     """
 
+    id_header = ""
+    expected_id: str | None = None
+
+    async def read(self) -> tuple[typing.Any, typing.Any]:
+        """Return the next answer that isn't to another request.
+
+        A target may send a second answer to an earlier request, which then
+        stands where the next answer is expected.
+        """
+        while True:
+            message, payload = await super().read()
+            found = message.headers.get(self.id_header)
+            if found is None or self.expected_id in (None, found):
+                return message, payload
+            LOG.warning(
+                "answer to another request dropped",
+                extra={
+                    "event": "answer.stray",
+                    "request_id": self.expected_id,
+                    "found": found,
+                    "status": message.code,
+                },
+            )
+            await payload.read()
+
     def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail an answer without a length whose connection was reset.
+
+        aiohttp takes any end of the connection for the end of such an
+        answer.
+        """
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             payload.set_exception(
@@ -65,10 +96,7 @@
 
 
 def answer_class(id_header: str) -> type[aiohttp.ClientResponse]:
-    """Return a response class that passes over answers to other requests.
-
-    A target may send a second answer to an earlier request, which then stands
-    where the next answer is expected.
+    """Return a response class that waits for the answer to its request.
 
     :param id_header: the header by which a target names the request.
     """
@@ -77,26 +105,10 @@
         async def start(
             self, connection: typing.Any
         ) -> aiohttp.ClientResponse:
-            expected = self.request_info.headers.get(id_header)
-            while True:
-                await super().start(connection)
-                found = self.headers.get(id_header)
-                if found is None or expected is None or found == expected:
-                    return self
-                LOG.warning(
-                    "answer to another request dropped",
-                    extra={
-                        "event": "answer.stray",
-                        "request_id": expected,
-                        "found": found,
-                        "status": self.status,
-                    },
-                )
-                stray = self.content
-                await stray.read()
-                # The end of the stray body gave the connection back.
-                self._connection = connection
-                self._closed = False
+            protocol = connection.protocol
+            protocol.id_header = id_header
+            protocol.expected_id = self.request_info.headers.get(id_header)
+            return await super().start(connection)
 
     return Answer
 
--- a/src/bulrushdale/forwarding/events.py
+++ b/src/bulrushdale/forwarding/events.py
@@ -1,22 +1,10 @@
 """Splitting a stream of server-sent events into whole events."""
 
 import dataclasses
+import re
 
-_ID_FIELD = b"id:"
-_SEPARATORS = (b"\n\n", b"\r\n\r\n")
-
-
-class OrderError(Exception):
-    """An event's id does not follow the one before it.
-
-    :param found: the id found.
-    :param expected: the id that should stand there.
-    """
-
-    def __init__(self, found: int, expected: int) -> None:
-        super().__init__(f"event {found} where {expected} was expected")
-        self.found = found
-        self.expected = expected
+_ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
+_END = re.compile(rb"\r?\n\r?\n")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,13 +12,12 @@
     """Whole events, ready to be passed on.
 
     :param data: their bytes, unchanged.
-    :param last_id: id of the last one; none if no event had an id.
-    :param count: how many there are.
+    :param fault: why the event behind them can't be passed on; none if
+        nothing is wrong so far.
     """
 
     data: bytes
-    last_id: int | None
-    count: int
+    fault: str | None
 
 
 class Splitter:
@@ -58,35 +45,28 @@
         self._rest = b""
 
     def feed(self, data: bytes) -> Events:
-        """Return the events that are whole by now.
+        """Return the events that are whole by now and follow in order.
 
         :param data: the next bytes.
-        :raises OrderError: if an event is missing, repeated or out of order.
         """
         self._rest += data
-        end = _last_end(self._rest)
-        if end < 0:
-            return Events(b"", None, 0)
-        whole, self._rest = self._rest[:end], self._rest[end:]
-        count = 0
-        for line in whole.splitlines():
-            if line.startswith(_ID_FIELD):
-                self._follow(line[len(_ID_FIELD) :])
-                count += 1
-        return Events(whole, self.last_id, count)
-
-    def _follow(self, value: bytes) -> None:
-        event_id = int(value)
+        taken = 0
+        fault = None
+        for end in _END.finditer(self._rest):
+            fault = self._follow(self._rest[taken : end.end()])
+            if fault is not None:
+                break
+            taken = end.end()
+        whole, self._rest = self._rest[:taken], self._rest[taken:]
+        return Events(whole, fault)
+
+    def _follow(self, event: bytes) -> str | None:
+        """Move to the next event; return why it isn't the next one."""
+        found = _ID.search(event)
+        if found is None:
+            return None
+        event_id = int(found[1])
         if self.last_id is not None and event_id != self.last_id + 1:
-            raise OrderError(event_id, self.last_id + 1)
+            return f"event {event_id} where {self.last_id + 1} was expected"
         self.last_id = event_id
-
-
-def _last_end(data: bytes) -> int:
-    """Return the index behind the last whole event; -1 for none."""
-    ends = [
-        place + len(separator)
-        for separator in _SEPARATORS
-        if (place := data.rfind(separator)) >= 0
-    ]
-    return max(ends, default=-1)
+        return None
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -395,16 +395,16 @@
             try:
                 async with asyncio.timeout(wait_ms / 1000):
                     data = await content.readany()
-                found = self._splitter.feed(data)
             except TimeoutError:
                 return f"no event within {wait_ms:.0f} ms"
             except (aiohttp.ClientError, OSError) as error:
                 return f"stream cut: {error!r}"
-            except (events.OrderError, ValueError) as error:
-                return f"bad event: {error}"
+            found = self._splitter.feed(data)
             if found.data:
                 response = await self._begun(opened.head)
                 await response.write(found.data)
+            if found.fault is not None:
+                return found.fault
             if not data and content.at_eof():
                 if self._splitter.within_event:
                     return "stream ends within an event"
--- a/src/bulrushdale/forwarding/settings.py
+++ b/src/bulrushdale/forwarding/settings.py
@@ -14,8 +14,10 @@
     :param ready_port: port that tells whether it wants callers.
     :param link_port: port for other routers, over TCP and UDP.
     :param metrics_port: port for metrics.
-    :param seeds: IPs of some routers; may be out of date.
+    :param seeds: addresses of some routers' links; may be out of date.
     :param store_address: IP and port of the platform's store.
+    :param drain_notice_ms: how long a stopping router takes requests that
+        were on their way when it said so.
     :param drain_timeout_ms: how long a stopping router may finish requests.
     :param key_age_limit_ms: age of the configuration at which keys are not
         trusted any more; none to trust them always.
@@ -33,6 +35,7 @@
     metrics_port: int
     seeds: tuple[str, ...]
     store_address: str
+    drain_notice_ms: int
     drain_timeout_ms: int
     key_age_limit_ms: int | None
     retry_ratio: float
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -49,9 +49,6 @@
 # Callers use connections that were idle for up to 12 s again; a connection
 # costs little, and closing one early costs its caller a try.
 CALLER_IDLE_S = 75
-# Callers' balancer notices within two checks that a router stops; new
-# connections that are on their way by then are still taken.
-DRAIN_NOTICE_MS = 2_500
 
 
 class Gateway(aiomisc.Service):
@@ -101,7 +98,7 @@
         address = f"{settings.host}:{settings.link_port}"
         self._peers = peers_module.Peers(address, clock)
         for seed in settings.seeds:
-            self._peers.introduce(f"{seed}:{settings.link_port}")
+            self._peers.introduce(seed)
         self._feeds = {
             name: feed_module.Feed(name, apply, clock)
             for name, apply in (
@@ -326,7 +323,8 @@
         await web.SockSite(runner, sock, backlog=1024).start()
         return runner
 
-    def _is_ready(self) -> bool:
+    def is_ready(self) -> bool:
+        """Return whether callers should come to this router."""
         age_ms = self._revisions.age_ms()
         limit_ms = self.settings.key_age_limit_ms
         return (
@@ -337,7 +335,7 @@
         )
 
     async def _tell_ready(self, _: web.BaseRequest) -> web.Response:
-        return web.Response(status=200 if self._is_ready() else 503)
+        return web.Response(status=200 if self.is_ready() else 503)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Drain: finish every request, then close.
@@ -354,7 +352,7 @@
         )
         deadline_ms = self._clock.now_ms() + self.settings.drain_timeout_ms
         self._activity.close_idle(self._callers_server)
-        await self._clock.sleep_ms(DRAIN_NOTICE_MS)
+        await self._clock.sleep_ms(self.settings.drain_notice_ms)
         for site in list(self._callers.sites):
             await site.stop()
         self._activity.close_idle(self._callers_server)
--- a/src/bulrushdale/platform/settings.py
+++ b/src/bulrushdale/platform/settings.py
@@ -14,6 +14,9 @@
 # A process that is still there after the grace period is killed; answers on
 # their way need this long before.
 STOP_MARGIN_MS = 500
+# Callers' balancer asks each second and needs two misses; connections that
+# are on their way by then are still taken.
+DRAIN_NOTICE_MS = 2_500
 # A request that passes the check of its key is at its target by then.
 KEY_AGE_MARGIN_MS = 600
 
@@ -70,8 +73,12 @@
         ready_port=_port(file.listen.ready),
         link_port=first_port,
         metrics_port=first_port + 1,
-        seeds=tuple(seed.rpartition(":")[0] for seed in file.seeds),
+        # The file names another port of theirs; all VMs use the same ones.
+        seeds=tuple(
+            f"{seed.rpartition(':')[0]}:{first_port}" for seed in file.seeds
+        ),
         store_address=file.platform.address,
+        drain_notice_ms=DRAIN_NOTICE_MS,
         drain_timeout_ms=int(bounds.grace_s * 1000) - STOP_MARGIN_MS,
         key_age_limit_ms=(
             bounds.revoke_ms - KEY_AGE_MARGIN_MS
--- /dev/null
+++ b/tests/gateway_fixtures.py
@@ -0,0 +1,174 @@
+"""A router of the platform with stand-ins around it, in one process."""
+
+import asyncio
+import contextlib
+import socket
+
+from aiohttp import web
+import orjson
+
+from bulrushdale.forwarding import settings as settings_module
+from bulrushdale import gateway
+from examples.standins import keyed_store
+from examples.standins import scripted_target
+
+HOST = "127.0.0.1"
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+def make_settings(**changes):
+    fields = {
+        "router": "r1",
+        "host": HOST,
+        "data_centre": "dc1",
+        "caller_port": free_port(),
+        "ready_port": free_port(),
+        "link_port": free_port(),
+        "metrics_port": free_port(),
+        "seeds": (),
+        "drain_notice_ms": 100,
+        "drain_timeout_ms": 3_000,
+        "key_age_limit_ms": 4_400,
+        "retry_ratio": 0.2,
+        "retry_slack": 50,
+        "retry_window_ms": 10_000,
+    }
+    return settings_module.Settings(**{**fields, **changes})
+
+
+ROUTES = [
+    {
+        "name": "lookup",
+        "path_prefix": "/lookup/",
+        "kind": "idempotent",
+        "max_attempts": 2,
+    },
+    {
+        "name": "order",
+        "path_prefix": "/order/",
+        "kind": "non_idempotent",
+        "max_attempts": 1,
+    },
+    {
+        "name": "plan",
+        "path_prefix": "/plan/",
+        "kind": "streaming",
+        "max_attempts": 2,
+        "resumable": True,
+        "gap_aim_ms": 200,
+        "sticky_sessions": True,
+    },
+    {
+        "name": "chat",
+        "path_prefix": "/chat/",
+        "kind": "streaming",
+        "max_attempts": 1,
+        "gap_aim_ms": 200,
+        "sticky_sessions": True,
+    },
+]
+
+
+def make_configuration(version=1, keys=("key-1",), timeout_ms=3_000):
+    base = {
+        "host": "example.test",
+        "service": "oven",
+        "timeout_ms": timeout_ms,
+        "target_latency_ms": 300,
+        "priority": 1,
+        "public": False,
+    }
+    return orjson.dumps(
+        {
+            "version": version,
+            "routes": [{**base, **route} for route in ROUTES],
+            "services": [{"name": "oven", "max_connections": 50}],
+            "limits": {"max_body_bytes": 4_096, "idle_timeout_ms": 15_000},
+            "tenants": [
+                {"name": "bakery", "api_keys": list(keys), "priority": 1}
+            ],
+        }
+    )
+
+
+def make_entry(address, state="ready", born=1):
+    return orjson.dumps(
+        {
+            "service": "oven",
+            "address": address,
+            "zone": "dc1",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": born,
+        }
+    )
+
+
+async def respond(request, writer):
+    """The script of a target that answers everything well."""
+    if "/plan/" in request.line or "/chat/" in request.line:
+        first = int(request.headers.get("last-event-id", -1)) + 1
+        writer.write(scripted_target.stream_head(request))
+        for number in range(first, 5):
+            writer.write(scripted_target.chunk(scripted_target.event(number)))
+        writer.write(scripted_target.chunk(b""))
+    else:
+        writer.write(scripted_target.answer(request))
+
+
+class Deployment:
+    """A store, two targets and a router."""
+
+    def __init__(self):
+        self.stack = contextlib.AsyncExitStack()
+        self.store = keyed_store.KeyedStore()
+        self.store_address = f"{HOST}:{free_port()}"
+        self.targets = []
+        self.routers = []
+
+    async def start_store(self):
+        runner = web.AppRunner(self.store.app(), shutdown_timeout=0.1)
+        await runner.setup()
+        self.stack.push_async_callback(runner.cleanup)
+        port = int(self.store_address.rpartition(":")[2])
+        await web.TCPSite(runner, HOST, port).start()
+
+    async def publish(self, **changes):
+        await self.store.put(
+            "keyed.op", "config", make_configuration(**changes)
+        )
+
+    async def add_target(self, name, script=respond):
+        target = scripted_target.ScriptedTarget(script)
+        await target.start()
+        self.stack.push_async_callback(target.stop)
+        self.targets.append(target)
+        await self.store.put("keyed.servers", name, make_entry(target.address))
+        return target
+
+    async def add_router(self, **changes):
+        router = gateway.Gateway(
+            settings=make_settings(
+                **{"store_address": self.store_address, **changes}
+            )
+        )
+        await router.start()
+        self.routers.append(router)
+        return router
+
+    async def ready(self, router):
+        async with asyncio.timeout(5):
+            while not router.is_ready():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+    def url(self, path, router=None):
+        settings = (router or self.routers[0]).settings
+        return f"http://{HOST}:{settings.caller_port}{path}"
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,487 @@
+"""Requests through a router of the platform, with targets that fail."""
+
+import asyncio
+import struct
+import socket
+
+import aiohttp
+import pytest
+
+from examples.standins import scripted_target
+from tests import gateway_fixtures
+
+
+@pytest.fixture
+async def deployment():
+    """A store with a configuration, two targets and a ready router."""
+    deployment = gateway_fixtures.Deployment()
+    async with deployment.stack:
+        await deployment.start_store()
+        await deployment.publish()
+        await deployment.add_target("t1")
+        await deployment.add_target("t2")
+        router = await deployment.add_router()
+        await deployment.ready(router)
+        yield deployment
+        for router in deployment.routers:
+            await router.stop()
+
+
+@pytest.fixture
+async def caller():
+    """A caller's HTTP session."""
+    async with aiohttp.ClientSession() as session:
+        yield session
+
+
+def headers(request_id="q1", key="key-1", deadline_ms=3_000, **extra):
+    return {
+        "Host": "example.test",
+        "X-Request-Id": request_id,
+        "X-Deadline-Ms": str(deadline_ms),
+        "Authorization": f"Bearer {key}",
+        **{name.replace("_", "-"): value for name, value in extra.items()},
+    }
+
+
+def everyone(deployment, script):
+    for target in deployment.targets:
+        target.script = script
+
+
+def received(deployment, path):
+    return [
+        request
+        for target in deployment.targets
+        for request in target.received
+        if path in request.line
+    ]
+
+
+def failing_first(fault):
+    """Return a script that fails the first request that arrives anywhere."""
+    seen = []
+
+    async def script(request, writer):
+        seen.append(request)
+        if len(seen) == 1:
+            return await fault(request, writer)
+        return await gateway_fixtures.respond(request, writer)
+
+    return script
+
+
+async def test_request_arrives_as_sent_and_answer_unchanged(
+    deployment, caller
+):
+    sent = headers(
+        X_Tenant_Id="forged", X_Pin_Ms="9", X_Hold="h", X_Own="kept"
+    )
+    async with caller.post(
+        deployment.url("/order/a%2Fb?x=1"), headers=sent, data=b"body"
+    ) as response:
+        assert response.status == 200
+        assert await response.read() == b"ok"
+        assert response.headers["X-Server-Seal"] == "seal"
+        assert response.headers["X-Request-Id"] == "q1"
+    (request,) = received(deployment, "/order/")
+    assert request.line == "POST /order/a%2Fb?x=1 HTTP/1.1"
+    assert request.body == b"body"
+    assert request.headers["x-tenant-id"] == "bakery"
+    assert request.headers["x-own"] == "kept"
+    assert request.headers["x-expect-instance"] in ("t1", "t2")
+    assert 2_000 < int(request.headers["x-deadline-ms"]) <= 3_000
+    for name in ("authorization", "x-pin-ms", "x-hold"):
+        assert name not in request.headers
+
+
+async def test_stream_is_passed_whole(deployment, caller):
+    async with caller.post(
+        deployment.url("/plan/x"), headers=headers()
+    ) as response:
+        body = await response.read()
+    assert body == b"".join(scripted_target.event(n) for n in range(5))
+
+
+async def reset(request, writer):
+    sock = writer.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+async def close(request, writer):
+    return False
+
+
+async def hang(request, writer):
+    await asyncio.sleep(30)
+
+
+async def fail(request, writer):
+    writer.write(scripted_target.answer(request, "500 Broken"))
+
+
+async def reject(request, writer):
+    writer.write(
+        scripted_target.answer(
+            request, "503 Full", X_Not_Executed="1", X_Server_Load="8,4,8"
+        )
+    )
+
+
+async def other_target(request, writer):
+    writer.write(scripted_target.answer(request, "421 Misdirected"))
+
+
+async def cut_body(request, writer):
+    whole = scripted_target.answer(request, body=b"0123456789")
+    writer.write(whole[:-3])
+    await writer.drain()
+    return False
+
+
+async def no_seal(request, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
+
+
+async def no_http(request, writer):
+    writer.write(b"\x00\x01garbage\r\n\r\n")
+    return False
+
+
+FAULTS = [reset, close, hang, fail, cut_body, no_seal, no_http]
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+async def test_repeatable_request_is_tried_elsewhere(
+    deployment, caller, fault
+):
+    everyone(deployment, failing_first(fault))
+    async with caller.get(
+        deployment.url("/lookup/x"), headers=headers()
+    ) as response:
+        assert response.status == 200
+        assert await response.read() == b"ok"
+    targets = [
+        request.headers["x-expect-instance"]
+        for request in received(deployment, "/lookup/")
+    ]
+    assert sorted(targets) == ["t1", "t2"]
+
+
+@pytest.mark.parametrize("fault", [f for f in FAULTS if f is not fail])
+async def test_order_runs_once_and_is_not_called_not_run(
+    deployment, caller, fault
+):
+    everyone(deployment, fault)
+    async with caller.post(
+        deployment.url("/order/x"),
+        headers=headers(deadline_ms=700),
+        data=b"1 loaf",
+    ) as response:
+        assert response.status in (502, 504)
+        assert "Retry-After" not in response.headers
+    assert len(received(deployment, "/order/")) == 1
+
+
+async def test_targets_own_failure_is_passed_on(deployment, caller):
+    everyone(deployment, fail)
+    async with caller.post(
+        deployment.url("/order/x"), headers=headers()
+    ) as response:
+        assert response.status == 500
+        assert response.headers["X-Server-Seal"] == "seal"
+    assert len(received(deployment, "/order/")) == 1
+
+
+@pytest.mark.parametrize("fault", [reject, other_target])
+async def test_order_that_did_not_run_goes_elsewhere(
+    deployment, caller, fault
+):
+    everyone(deployment, failing_first(fault))
+    async with caller.post(
+        deployment.url("/order/x"), headers=headers()
+    ) as response:
+        assert response.status == 200
+    assert len(received(deployment, "/order/")) == 2
+
+
+async def test_rejected_everywhere_is_refused_as_not_run(deployment, caller):
+    everyone(deployment, reject)
+    async with caller.post(
+        deployment.url("/order/x"), headers=headers()
+    ) as response:
+        assert response.status == 503
+        assert float(response.headers["Retry-After"]) > 0
+        assert (await response.json())["error"]["code"] == 3004
+
+
+async def test_target_without_listener_costs_nothing(deployment, caller):
+    await deployment.targets[0].stop()
+    for number in range(6):
+        async with caller.post(
+            deployment.url("/order/x"), headers=headers(f"q{number}")
+        ) as response:
+            assert response.status == 200
+
+
+async def cut_within_event(request, writer):
+    writer.write(scripted_target.stream_head(request))
+    writer.write(scripted_target.chunk(scripted_target.event(0)))
+    writer.write(scripted_target.chunk(scripted_target.event(1)[:-4]))
+    await writer.drain()
+    return False
+
+
+async def skip_event(request, writer):
+    writer.write(scripted_target.stream_head(request))
+    for number in (0, 2, 3):
+        writer.write(scripted_target.chunk(scripted_target.event(number)))
+    writer.write(scripted_target.chunk(b""))
+
+
+async def stall(request, writer):
+    writer.write(scripted_target.stream_head(request))
+    writer.write(scripted_target.chunk(scripted_target.event(0)))
+    await writer.drain()
+    await asyncio.sleep(30)
+
+
+@pytest.mark.parametrize(
+    "fault", [cut_within_event, skip_event, stall, reset, hang]
+)
+async def test_stream_is_resumed_in_order(deployment, caller, fault):
+    everyone(deployment, failing_first(fault))
+    async with caller.post(
+        deployment.url("/plan/x"), headers=headers()
+    ) as response:
+        body = await response.read()
+    assert body == b"".join(scripted_target.event(n) for n in range(5))
+    first, second = sorted(
+        received(deployment, "/plan/"),
+        key=lambda request: request.headers.get("last-event-id", ""),
+    )
+    if fault in (reset, hang):
+        assert "last-event-id" not in second.headers
+    else:
+        assert second.headers["last-event-id"] == "0"
+
+
+async def test_stream_that_may_not_resume_never_looks_whole(
+    deployment, caller
+):
+    everyone(deployment, cut_within_event)
+    with pytest.raises(aiohttp.ClientPayloadError):
+        async with caller.post(
+            deployment.url("/chat/x"), headers=headers()
+        ) as response:
+            await response.read()
+    assert len(received(deployment, "/chat/")) == 1
+
+
+async def unframed_reset(request, writer):
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\n"
+        b"X-Request-Id: %b\r\n\r\nhalf" % request.request_id.encode()
+    )
+    await writer.drain()
+    await asyncio.sleep(0.1)
+    await reset(request, writer)
+
+
+async def unframed_whole(request, writer):
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\n"
+        b"X-Request-Id: %b\r\n\r\nwhole" % request.request_id.encode()
+    )
+    await writer.drain()
+    return False
+
+
+async def test_answer_without_length_ends_with_its_connection(
+    deployment, caller
+):
+    everyone(deployment, unframed_whole)
+    async with caller.post(
+        deployment.url("/order/x"), headers=headers()
+    ) as response:
+        assert (response.status, await response.read()) == (200, b"whole")
+
+
+async def test_answer_without_length_that_is_reset_is_not_whole(
+    deployment, caller
+):
+    everyone(deployment, unframed_reset)
+    async with caller.post(
+        deployment.url("/order/x"), headers=headers()
+    ) as response:
+        assert response.status == 502
+
+
+async def test_answer_to_another_request_is_passed_over(deployment, caller):
+    async def answer_twice(request, writer):
+        writer.write(scripted_target.answer(request, body=b"mine"))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(scripted_target.answer(request, body=b"late"))
+
+    everyone(deployment, answer_twice)
+    for number in range(4):
+        async with caller.post(
+            deployment.url("/order/x"), headers=headers(f"q{number}")
+        ) as response:
+            assert response.headers["X-Request-Id"] == f"q{number}"
+            assert await response.read() == b"mine"
+        await asyncio.sleep(0.1)
+
+
+@pytest.mark.parametrize("path", ["/order/x", "/plan/x", "/lookup/x"])
+async def test_caller_gone_ends_the_work(deployment, caller, path):
+    everyone(deployment, stall if "plan" in path else hang)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.2):
+            async with caller.post(
+                deployment.url(path), headers=headers()
+            ) as response:
+                await response.read()
+    await asyncio.sleep(0.1)
+    assert sum(len(target.closed) for target in deployment.targets) == 1
+
+
+async def test_timeout_of_the_route_is_answered_on_time(deployment, caller):
+    await deployment.publish(version=2, timeout_ms=300)
+    await asyncio.sleep(0.3)
+    everyone(deployment, hang)
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    async with caller.post(
+        deployment.url("/order/x"), headers=headers()
+    ) as response:
+        assert response.status == 504
+    assert 0.25 < loop.time() - started < 0.7
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status", "code"),
+    [
+        ("/order/x", "key-9", 401, 2002),
+        ("/nowhere/x", "key-1", 404, 2012),
+    ],
+)
+async def test_not_allowed(deployment, caller, path, key, status, code):
+    async with caller.post(
+        deployment.url(path), headers=headers(key=key)
+    ) as response:
+        assert response.status == status
+        assert (await response.json())["error"]["code"] == code
+
+
+async def test_bad_input_gets_a_code_and_is_not_run(deployment, caller):
+    async with caller.post(
+        deployment.url("/order/x"), headers=headers(deadline_ms="soon")
+    ) as response:
+        assert response.status == 400
+        assert (await response.json())["error"]["code"] == 2001
+    async with caller.post(
+        deployment.url("/order/x"), headers=headers(), data=b"x" * 5_000
+    ) as response:
+        assert response.status == 413
+    assert received(deployment, "/order/") == []
+
+
+async def test_revoked_key_is_refused_at_once(deployment, caller):
+    await deployment.publish(version=2, keys=("key-2",))
+    await asyncio.sleep(0.4)
+    async with caller.post(
+        deployment.url("/order/x"), headers=headers()
+    ) as response:
+        assert response.status == 401
+    assert received(deployment, "/order/") == []
+
+
+async def test_leaving_target_gets_no_new_work(deployment, caller):
+    target = deployment.targets[0]
+    entry = gateway_fixtures.make_entry(target.address, state="draining")
+    await deployment.store.put("keyed.servers", "t1", entry)
+    await asyncio.sleep(1.2)
+    for number in range(6):
+        async with caller.post(
+            deployment.url("/order/x"), headers=headers(f"q{number}")
+        ) as response:
+            assert response.status == 200
+    assert target.received == []
+
+
+async def test_entries_of_other_writers_are_skipped(deployment, caller):
+    for value in (b"\xff", b"[]", b'{"service":"oven"}', b'{"state":7}'):
+        await deployment.store.put("keyed.servers", "bad", value)
+    await deployment.store.put("keyed.op", "config", b"not a table")
+    await asyncio.sleep(1.2)
+    async with caller.post(
+        deployment.url("/order/x"), headers=headers()
+    ) as response:
+        assert response.status == 200
+
+
+async def test_router_without_the_store_learns_from_a_peer(deployment, caller):
+    first = deployment.routers[0]
+    link_port = first.settings.link_port
+    second = await deployment.add_router(
+        router="r2",
+        store_address=f"{gateway_fixtures.HOST}:1",
+        seeds=(f"{gateway_fixtures.HOST}:{link_port}",),
+    )
+    await deployment.ready(second)
+    async with caller.post(
+        deployment.url("/order/x", second), headers=headers()
+    ) as response:
+        assert response.status == 200
+
+
+async def test_keys_age_while_nobody_reaches_the_store(deployment, caller):
+    deployment.store.refuse = 503
+    await asyncio.sleep(4.6)
+    async with caller.post(
+        deployment.url("/order/x"), headers=headers()
+    ) as response:
+        assert response.status == 503
+        assert (await response.json())["error"]["code"] == 3009
+    assert not deployment.routers[0].is_ready()
+    deployment.store.refuse = None
+    await deployment.ready(deployment.routers[0])
+    async with caller.post(
+        deployment.url("/order/x"), headers=headers()
+    ) as response:
+        assert response.status == 200
+
+
+async def test_stop_finishes_requests_and_closes_idle_connections(
+    deployment, caller
+):
+    async def slowly(request, writer):
+        await asyncio.sleep(0.5)
+        writer.write(scripted_target.answer(request))
+
+    async with caller.post(
+        deployment.url("/order/x"), headers=headers("idle")
+    ) as response:
+        await response.read()
+    everyone(deployment, slowly)
+    pending = asyncio.ensure_future(
+        caller.post(deployment.url("/order/x"), headers=headers("slow"))
+    )
+    await asyncio.sleep(0.1)
+    router = deployment.routers.pop()
+    stopping = asyncio.ensure_future(router.stop())
+    await asyncio.sleep(0.05)
+    assert not router.is_ready()
+    response = await pending
+    assert response.status == 200
+    assert response.headers["Connection"] == "close"
+    await stopping
+    with pytest.raises(aiohttp.ClientConnectorError):
+        await caller.post(
+            f"http://127.0.0.1:{router.settings.caller_port}/order/x",
+            headers=headers("after"),
+        )
--- /dev/null
+++ b/tests/test_stream_events.py
@@ -0,0 +1,76 @@
+"""Events of a stream are passed on whole, in order and once."""
+
+from hypothesis import given
+from hypothesis import strategies
+
+from bulrushdale.forwarding import events
+
+
+def make_event(number):
+    return b"id: %d\ndata: x%d\n\n" % (number, number)
+
+
+def feed_all(splitter, pieces):
+    found = [splitter.feed(piece) for piece in pieces]
+    return b"".join(f.data for f in found), [f.fault for f in found if f.fault]
+
+
+@given(strategies.integers(0, 9), strategies.lists(strategies.integers(1, 40)))
+def test_any_cut_gives_the_same_events(count, cuts):
+    stream = b"".join(make_event(n) for n in range(count))
+    pieces, rest = [], stream
+    for cut in cuts:
+        pieces.append(rest[:cut])
+        rest = rest[cut:]
+    splitter = events.Splitter(None)
+    data, faults = feed_all(splitter, [*pieces, rest])
+    assert (data, faults) == (stream, [])
+    assert not splitter.within_event
+
+
+@given(
+    strategies.lists(strategies.integers(0, 6), min_size=1, max_size=8),
+    strategies.booleans(),
+)
+def test_only_events_in_order_are_returned(numbers, at_once):
+    """Nothing behind a gap or repeat is passed on, nor counted as passed."""
+    splitter = events.Splitter(None)
+    pieces = [make_event(n) for n in numbers]
+    if at_once:
+        pieces = [b"".join(pieces)]
+    expected = [numbers[0]]
+    for number in numbers[1:]:
+        if number != expected[-1] + 1:
+            break
+        expected.append(number)
+    data = b""
+    for piece in pieces:
+        found = splitter.feed(piece)
+        data += found.data
+        if found.fault:
+            break
+    assert data == b"".join(make_event(n) for n in expected)
+    assert splitter.last_id == expected[-1]
+
+
+def test_resumed_stream_goes_on_behind_the_last_event():
+    splitter = events.Splitter(4)
+    assert splitter.feed(make_event(4)).fault is not None
+    assert splitter.last_id == 4
+    splitter.drop_rest()
+    assert splitter.feed(make_event(5)) == events.Events(make_event(5), None)
+
+
+def test_event_cut_short_is_not_returned():
+    splitter = events.Splitter(None)
+    assert splitter.feed(make_event(0)[:-1]).data == b""
+    assert splitter.within_event
+    splitter.drop_rest()
+    assert splitter.feed(make_event(0)).data == make_event(0)
+
+
+def test_lines_may_end_in_carriage_returns():
+    splitter = events.Splitter(None)
+    event = b"id: 0\r\ndata: x\r\n\r\n"
+    assert splitter.feed(event + event).data == event
+    assert splitter.last_id == 0
