Check silent targets and the neighbours of unreachable ones by connecting

A failed connection now has the others there checked at once, and a request that is silent has its target checked; waits for what may be repeated end when it is gone.

--- a/src/bulrushdale/forwarding/attempt.py
+++ b/src/bulrushdale/forwarding/attempt.py
@@ -1,6 +1,6 @@
 """One request to one target."""
 
-import asyncio
+import contextlib
 import dataclasses
 import typing
 
@@ -49,6 +49,8 @@
     response: aiohttp.ClientResponse
 
 
+# Raises TimeoutError when the wait is over.
+Wait = contextlib.AbstractAsyncContextManager[None]
 DecodeAnswer = typing.Callable[[int, typing.Any], calls.AnswerHead]
 
 
@@ -58,7 +60,7 @@
     call: calls.Call,
     headers: list[tuple[str, str]],
     decode: DecodeAnswer,
-    patience_ms: float,
+    wait: Wait,
 ) -> Opened | NotRun | Unknown:
     """Send a request and wait for the head of its answer.
 
@@ -67,14 +69,14 @@
     :param call: the request.
     :param headers: its headers for this target.
     :param decode: decodes the head.
-    :param patience_ms: how long to wait for the head, in ms.
+    :param wait: limits the wait for the head.
     """
     timeout = aiohttp.ClientTimeout(
         total=None, sock_connect=connections.CONNECT_TIMEOUT_MS / 1000
     )
     url = yarl.URL(f"http://{address}{call.raw_target}", encoded=True)
     try:
-        async with asyncio.timeout(patience_ms / 1000):
+        async with wait:
             response = await session.request(
                 call.method,
                 url,
@@ -88,7 +90,7 @@
     except aiohttp.ConnectionTimeoutError:
         return NotRun("connecting timed out", sent=False)
     except TimeoutError:
-        return Unknown(f"no answer within {patience_ms:.0f} ms")
+        return Unknown("no answer in time")
     except _LOST as error:
         return Unknown(f"connection lost: {error!r}")
     head = decode(response.status, response.headers)
@@ -116,17 +118,17 @@
     return None
 
 
-async def read_whole(opened: Opened, patience_ms: float) -> bytes | Unknown:
+async def read_whole(opened: Opened, wait: Wait) -> bytes | Unknown:
     """Read the body of an answer to its end.
 
     :param opened: the answer.
-    :param patience_ms: how long that may take, in ms.
+    :param wait: limits how long that may take.
     """
     try:
-        async with asyncio.timeout(patience_ms / 1000):
+        async with wait:
             return await opened.response.read()
     except TimeoutError:
-        return Unknown(f"body not complete within {patience_ms:.0f} ms")
+        return Unknown("body not complete in time")
     except _LOST as error:
         return Unknown(f"body cut short: {error!r}")
     finally:
--- a/src/bulrushdale/forwarding/connections.py
+++ b/src/bulrushdale/forwarding/connections.py
@@ -12,7 +12,7 @@
 
 # A SYN is answered within a round trip, under 30 ms between regions; a lost
 # one is sent again after a second, when another target is the better choice.
-CONNECT_TIMEOUT_MS = 300
+CONNECT_TIMEOUT_MS = 200
 # Unacknowledged data for so long means that the path is gone; links that
 # lose packets recover within a few hundred ms.
 USER_TIMEOUT_MS = 2_000
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -1,6 +1,5 @@
 """Passes one request on to targets until it has a final answer."""
 
-import asyncio
 import dataclasses
 import logging
 import typing
@@ -14,6 +13,7 @@
 from bulrushdale.forwarding import attempt
 from bulrushdale.forwarding import events
 from bulrushdale.forwarding import metrics as metrics_module
+from bulrushdale.forwarding import probes
 from bulrushdale import results
 from bulrushdale.routing import access
 from bulrushdale.routing import budget as budget_module
@@ -67,6 +67,7 @@
         "key_age_limit_ms",
         "draining",
         "metrics",
+        "prober",
     )
 
     def __init__(
@@ -83,6 +84,7 @@
         key_age_limit_ms: int | None,
         draining: typing.Callable[[], bool],
         metrics: metrics_module.Metrics,
+        prober: probes.Prober,
     ) -> None:
         self.clock = clock
         self.wire = wire
@@ -96,6 +98,7 @@
         self.key_age_limit_ms = key_age_limit_ms
         self.draining = draining
         self.metrics = metrics
+        self.prober = prober
 
 
 class Exchange:
@@ -279,7 +282,10 @@
             self._call,
             self._headers(target, left_ms),
             self._parts.wire.decode_answer,
-            patience.for_answer(self._route, left_ms, self._another()),
+            self._wait(
+                target,
+                patience.for_answer(self._route, left_ms, self._another()),
+            ),
         )
         if isinstance(outcome, attempt.NotRun):
             self._runs -= 1
@@ -295,6 +301,12 @@
             return await self._relay_stream(target, outcome)
         return await self._relay_whole(target, outcome)
 
+    def _wait(
+        self, target: targets_module.Target, patience_ms: float
+    ) -> attempt.Wait:
+        """Limit a wait for a target; shorter if it is cut off meanwhile."""
+        return self._parts.prober.watch(target, patience_ms, self._another())
+
     def _session(self) -> aiohttp.ClientSession:
         if self._route.repeatable:
             return self._parts.session
@@ -331,7 +343,7 @@
         if outcome.sent:
             self._offers += 1
         else:
-            target.health.unreachable = True
+            self._parts.prober.note_unreachable(target)
         if outcome.moved:
             target.leaving = True
 
@@ -347,8 +359,9 @@
     async def _relay_whole(
         self, target: targets_module.Target, opened: attempt.Opened
     ) -> web.StreamResponse | None:
+        patience_ms = self._left_ms() + patience.LATE_MS
         body = await attempt.read_whole(
-            opened, self._left_ms() + patience.LATE_MS
+            opened, self._wait(target, patience_ms)
         )
         if isinstance(body, attempt.Unknown):
             self._note_failed(target, body.reason)
@@ -373,7 +386,7 @@
         self, target: targets_module.Target, opened: attempt.Opened
     ) -> web.StreamResponse | None:
         try:
-            fault = await self._pass_events(opened)
+            fault = await self._pass_events(target, opened)
         finally:
             opened.response.close()
         if fault is not None:
@@ -386,7 +399,9 @@
         await response.write_eof()
         return response
 
-    async def _pass_events(self, opened: attempt.Opened) -> str | None:
+    async def _pass_events(
+        self, target: targets_module.Target, opened: attempt.Opened
+    ) -> str | None:
         """Pass events on as they arrive.
 
         :return: why the stream broke off; none if it came to its end.
@@ -397,10 +412,10 @@
                 self._route, self._left_ms(), self._another()
             )
             try:
-                async with asyncio.timeout(wait_ms / 1000):
+                async with self._wait(target, wait_ms):
                     data = await content.readany()
             except TimeoutError:
-                return f"no event within {wait_ms:.0f} ms"
+                return "no event in time"
             except (aiohttp.ClientError, OSError) as error:
                 return f"stream cut: {error!r}"
             found = self._splitter.feed(data)
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -17,6 +17,7 @@
 from bulrushdale.forwarding import links as links_module
 from bulrushdale.forwarding import logs
 from bulrushdale.forwarding import metrics as metrics_module
+from bulrushdale.forwarding import probes
 from bulrushdale.forwarding import proxy
 from bulrushdale.forwarding import settings as settings_module
 from bulrushdale.platform import configuration
@@ -44,8 +45,6 @@
 ROUTERS_INTERVAL_MS = 15_000
 REPORT_INTERVAL_MS = 250
 EXPIRE_INTERVAL_MS = 250
-# A target that could not be reached is tried again this often.
-CONNECT_CHECK_INTERVAL_MS = 500
 DRAIN_POLL_MS = 50
 # Callers use connections that were idle for up to 12 s again; a connection
 # costs little, and closing one early costs its caller a try.
@@ -120,6 +119,7 @@
             own_session,
             clock,
         )
+        self._prober = probes.Prober(self._targets, clock)
         self._activity = callers.Activity()
         self._sequence = 0
         self._started_ms = clock.wall_ms()
@@ -151,6 +151,7 @@
             key_age_limit_ms=settings.key_age_limit_ms,
             draining=lambda: self._activity.draining,
             metrics=self._metrics,
+            prober=self._prober,
         )
         self._add_gauges()
 
@@ -243,7 +244,7 @@
             self._register(),
             self._every(REPORT_INTERVAL_MS, self._report),
             self._every(EXPIRE_INTERVAL_MS, self._expire),
-            self._every(CONNECT_CHECK_INTERVAL_MS, self._check_connections),
+            self._prober.repeat(),
         ]
 
     async def _follow(
@@ -339,32 +340,6 @@
         if confirmed_ms is not None:
             self._revisions.confirm(confirmed_ms)
 
-    async def _check_connections(self) -> None:
-        """Use unreachable targets again once they can be connected to."""
-        checks = [
-            self._check(target)
-            for target in self._targets.all()
-            if target.health.unreachable and not target.leaving
-        ]
-        await asyncio.gather(*checks)
-
-    async def _check(self, target: targets_module.Target) -> None:
-        host, _, port = target.address.rpartition(":")
-        try:
-            async with asyncio.timeout(connections.CONNECT_TIMEOUT_MS / 1000):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError):
-            return
-        writer.close()
-        target.health.unreachable = False
-        LOG.info(
-            "target reachable again",
-            extra={
-                "event": "target.reachable",
-                "target": target.target_id,
-            },
-        )
-
     async def _listen(self, server: web.Server, port: int) -> web.ServerRunner:
         runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await runner.setup()
--- /dev/null
+++ b/tests/test_probes.py
@@ -0,0 +1,100 @@
+"""Targets that are cut off are found before requests wait for them."""
+
+import asyncio
+
+import pytest
+
+from bulrushdale import clock as clock_module
+from bulrushdale.forwarding import probes
+from bulrushdale.routing import targets as targets_module
+from examples.standins import scripted_target
+
+
+@pytest.fixture
+async def target():
+    """A target that listens."""
+    standin = scripted_target.ScriptedTarget(None)
+    await standin.start()
+    yield standin
+    await standin.stop()
+
+
+@pytest.fixture
+def targets():
+    return targets_module.Targets(clock_module.Clock())
+
+
+@pytest.fixture
+def prober(targets):
+    return probes.Prober(targets, clock_module.Clock())
+
+
+def add(targets, name, address, data_centre="dc1"):
+    targets.put(
+        targets_module.Listing(
+            name, 1, "chat", address, data_centre, 8, False, 0
+        )
+    )
+    return targets.get(name)
+
+
+async def settle(prober):
+    while prober._checks:
+        await asyncio.gather(*prober._checks.values())
+        await asyncio.sleep(0)
+
+
+async def test_silent_target_that_is_there_is_waited_for(
+    targets, prober, target
+):
+    slow = add(targets, "t1", target.address)
+    async with prober.watch(slow, 5_000, may_leave=True):
+        await asyncio.sleep(probes.SILENCE_MS / 1000 + 0.2)
+    assert not slow.health.unreachable
+
+
+async def test_wait_for_a_target_that_is_gone_ends_early(
+    targets, prober, target
+):
+    gone = add(targets, "t1", target.address)
+    await target.stop()
+    started = asyncio.get_running_loop().time()
+    with pytest.raises(TimeoutError):
+        async with prober.watch(gone, 5_000, may_leave=True):
+            await asyncio.sleep(5)
+    assert asyncio.get_running_loop().time() - started < 1
+    assert gone.health.unreachable
+
+
+async def test_wait_for_what_may_not_be_repeated_goes_on(
+    targets, prober, target
+):
+    gone = add(targets, "t1", target.address)
+    await target.stop()
+    async with prober.watch(gone, 5_000, may_leave=False):
+        await asyncio.sleep(probes.SILENCE_MS / 1000 + 0.2)
+    assert gone.health.unreachable
+
+
+async def test_neighbours_of_an_unreachable_target_are_checked(
+    targets, prober, target
+):
+    """A cut data centre is found with its first failed connection."""
+    lost = [
+        add(targets, f"t{n}", "127.0.0.1:1", data_centre="dc2")
+        for n in range(3)
+    ]
+    here = add(targets, "t9", target.address)
+    prober.note_unreachable(lost[0])
+    await settle(prober)
+    assert all(t.health.unreachable for t in lost)
+    assert not here.health.unreachable
+
+
+async def test_target_that_is_back_is_used_again(targets, prober, target):
+    back = add(targets, "t1", target.address)
+    back.health.unreachable = True
+    repeating = asyncio.ensure_future(prober.repeat())
+    await asyncio.sleep(0.05)
+    repeating.cancel()
+    assert not back.health.unreachable
