Read the store through one router for each data centre

Each data centre's collector reads now, the others wait for its news and turn to the store when its copy is over a second old. Heartbeats that change nothing but their sequence are not passed on.

--- a/src/bulrushdale/forwarding/feed.py
+++ b/src/bulrushdale/forwarding/feed.py
@@ -1,8 +1,9 @@
 """A local copy of a keyed topic, read from the store or from a peer."""
 
+import asyncio
 from collections import abc
+import dataclasses
 import logging
-import typing
 
 from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import records
@@ -17,8 +18,24 @@
 # that is younger than this was confirmed by a peer, and the store was there.
 OUTAGE_AGE_MS = 2_500
 
-Read = abc.Callable[[int | None], abc.Awaitable[records.Page]]
+# A copy that the data centre's reader gives must not be older; its own reads
+# are this often or more, and an older one shows that it is cut off.
+READER_AGE_MS = 1_000
+
 Apply = abc.Callable[[str, bytes | None], None]
+Meaning = abc.Callable[[str, bytes], object]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reading:
+    """Records, and the time at which there were no newer ones.
+
+    :param page: the records.
+    :param as_of_ms: that time, in ms of the boot clock.
+    """
+
+    page: records.Page
+    as_of_ms: int
 
 
 class Feed:
@@ -26,6 +43,8 @@
 
     :param name: the topic's name, for logs and peers.
     :param apply: called with each key that changed, and its value or none.
+    :param meaning: what a value says; a record that says the same as the
+        one before is no news to peers.
     :param count_read: counts a read by this feed's name and outcome.
     :param clock: the clock.
 
@@ -37,6 +56,8 @@
     __slots__ = (
         "name",
         "_apply",
+        "_meaning",
+        "_changed",
         "_clock",
         "_records",
         "next_offset",
@@ -50,11 +71,14 @@
         self,
         name: str,
         apply: Apply,
+        meaning: Meaning,
         count_read: abc.Callable[[str, str], None],
         clock: clock_module.Clock,
     ) -> None:
         self.name = name
         self._apply = apply
+        self._meaning = meaning
+        self._changed = asyncio.Event()
         self._count_read = count_read
         self._clock = clock
         self._records: dict[str, records.KeyedRecord] = {}
@@ -85,11 +109,41 @@
         known = self._records.get(record.key)
         if known is not None and known.offset >= record.offset:
             return
+        if known is not None and self._says_the_same(known, record):
+            return
         self._records.pop(record.key, None)
         self._records[record.key] = record
         self._apply(record.key, record.value)
         if record.value is None:
             self._forget_dropped()
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _says_the_same(
+        self, known: records.KeyedRecord, record: records.KeyedRecord
+    ) -> bool:
+        if known.value is None or record.value is None:
+            return known.value is record.value
+        if known.value == record.value:
+            return True
+        return self._meaning(known.key, known.value) == self._meaning(
+            record.key, record.value
+        )
+
+    async def wait_for_news(self, offset: int, wait_ms: float) -> None:
+        """Return once there is a record from an offset on, or time is up.
+
+        :param offset: where a peer would read on.
+        :param wait_ms: the longest wait, in ms.
+        """
+        changed = self._changed
+        if any(r.offset >= offset for r in self._records.values()):
+            return
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                await changed.wait()
+        except TimeoutError:
+            return
 
     def _drop_missing(self, page: records.Page) -> None:
         """Drop the keys that a snapshot doesn't hold any more."""
@@ -109,14 +163,14 @@
             del self._records[key]
 
     def since(self, offset: int | None) -> records.Page | None:
-        """Return what a peer lacks; none if this copy is no newer.
+        """Return what a peer lacks; none if there is no copy yet.
 
         :param offset: where the peer would read on; none for everything.
         """
         if self.next_offset is None:
             return None
         if offset is not None and offset > self.next_offset:
-            return None
+            return records.Page([], offset, True, False)
         found = [
             record
             for record in self._records.values()
@@ -172,28 +226,74 @@
         return was_away
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sources:
+    """Where a feed's records are read.
+
+    :param store: reads from an offset on, or everything for none.
+    :param reader: reads from the router that reads the store for this data
+        centre; none while that is this router.
+    :param peers: reads from any routers that can be reached.
+    """
+
+    store: abc.Callable[[int | None], abc.Awaitable[records.Page]]
+    reader: abc.Callable[[Feed], abc.Awaitable[Reading | None]]
+    peers: abc.Callable[[Feed], abc.Awaitable[Reading | None]]
+
+
 async def follow(
     feed: Feed,
-    read: Read,
-    read_peer: abc.Callable[[Feed], abc.Awaitable[None]],
+    sources: Sources,
     interval_ms: int,
-    back: typing.Callable[[], None],
+    back: abc.Callable[[], None],
     clock: clock_module.Clock,
 ) -> None:
     """Keep a feed up to date until cancelled.
 
     :param feed: the feed.
-    :param read: reads from an offset on, or everything for none.
-    :param read_peer: brings the feed up to date from another router.
+    :param sources: where its records are read.
     :param interval_ms: pause between reads.
     :param back: called when the store is back after an outage for all.
     :param clock: the clock.
     """
-    offset: int | None = None
+
+    def take(reading: Reading) -> None:
+        age_ms = feed.age_ms()
+        if feed.note_back() and (age_ms is None or age_ms > OUTAGE_AGE_MS):
+            back()
+        feed.take(reading.page, reading.as_of_ms)
+
+    while True:
+        reading = await sources.reader(feed)
+        if reading is not None:
+            if clock.boot_ms() - reading.as_of_ms <= READER_AGE_MS:
+                take(reading)
+                continue
+            feed.take(reading.page, reading.as_of_ms)
+        try:
+            take(await _read_store(feed, sources, clock))
+        except records.SourceError as error:
+            feed.note_away(error)
+            reading = await sources.peers(feed)
+            if reading is not None:
+                feed.take(reading.page, reading.as_of_ms)
+            await clock.sleep_ms(RETRY_DELAY_MS)
+            continue
+        await clock.sleep_ms(interval_ms)
+
+
+async def _read_store(
+    feed: Feed, sources: Sources, clock: clock_module.Clock
+) -> Reading:
+    """Read the store up to its end.
+
+    :raises SourceError: without an answer.
+    """
+    offset = feed.next_offset
     while True:
         asked_ms = clock.boot_ms()
         try:
-            page = await read(offset)
+            page = await sources.store(offset)
         except records.HistoryGoneError:
             LOG.info(
                 "history expired",
@@ -201,16 +301,7 @@
             )
             offset = None
             continue
-        except records.SourceError as error:
-            feed.note_away(error)
-            await read_peer(feed)
-            offset = feed.next_offset
-            await clock.sleep_ms(RETRY_DELAY_MS)
-            continue
-        age_ms = feed.age_ms()
-        if feed.note_back() and (age_ms is None or age_ms > OUTAGE_AGE_MS):
-            back()
+        if page.complete:
+            return Reading(page, asked_ms)
         feed.take(page, asked_ms)
         offset = page.next_offset
-        if page.complete:
-            await clock.sleep_ms(interval_ms)
--- a/src/bulrushdale/forwarding/links.py
+++ b/src/bulrushdale/forwarding/links.py
@@ -29,6 +29,9 @@
 PEER_TIMEOUT_MS = 500
 # Peers asked for records before the store is asked again.
 PEERS_ASKED = 3
+# A read from the collector returns with news, or after this.
+READER_WAIT_MS = 700
+MOST_WAIT_MS = 5_000
 
 
 def encode_report(report: peers_module.Report) -> bytes:
@@ -189,51 +192,59 @@
         feed = self._feeds.get(request.path.removeprefix("/feeds/"))
         if feed is None:
             return web.Response(status=404)
-        value = request.query.get("from", "")
-        page = feed.since(int(value) if value.isdigit() else None)
+        offset = _count(request.query.get("from"))
+        wait_ms = _count(request.query.get("wait_ms"))
+        asked_ms = self._clock.boot_ms()
+        if offset is not None and wait_ms:
+            await feed.wait_for_news(offset, min(wait_ms, MOST_WAIT_MS))
+        page = feed.since(offset)
         age_ms = feed.age_ms()
         if page is None or age_ms is None:
             return web.Response(status=503)
-        body = {
-            "age_ms": age_ms,
-            "next_offset": page.next_offset,
-            "snapshot": page.snapshot,
-            "records": [
-                [
-                    record.offset,
-                    record.key,
-                    None
-                    if record.value is None
-                    else base64.b64encode(record.value).decode(),
-                ]
-                for record in page.records
-            ],
-        }
-        return web.Response(body=orjson.dumps(body))
+        waited_ms = self._clock.boot_ms() - asked_ms
+        return web.Response(body=_encode_page(page, age_ms - waited_ms))
 
-    async def read_peer(self, feed: feed_module.Feed) -> None:
-        """Bring a feed up to date from another router, if one can.
+    async def read_collector(
+        self, feed: feed_module.Feed
+    ) -> feed_module.Reading | None:
+        """Read a feed's news from this data centre's collector.
 
         :param feed: the feed.
+        :return: none if this router is the collector, or it gives nothing.
+        """
+        collector = self._peers.collector()
+        if collector is None:
+            return None
+        reading = await self._read(feed, collector, READER_WAIT_MS)
+        if reading is None:
+            self._peers.pass_over(collector)
+        return reading
+
+    async def read_peers(
+        self, feed: feed_module.Feed
+    ) -> feed_module.Reading | None:
+        """Read a feed's news from some other routers.
+
+        :param feed: the feed.
+        :return: the newest that was found; none if nobody gave any.
         """
         addresses = self._peers.live() or self._peers.addresses()
         asked = random.sample(addresses, min(PEERS_ASKED, len(addresses)))
-        for address in asked:
-            known_ms = feed.confirmed_ms
-            if not await self._read_records(feed, address):
-                continue
-            if known_ms is None or feed.confirmed_ms != known_ms:
-                return
-
-    async def _read_records(
-        self, feed: feed_module.Feed, address: str
-    ) -> bool:
+        found = await asyncio.gather(
+            *(self._read(feed, address, 0) for address in asked)
+        )
+        readings = [reading for reading in found if reading is not None]
+        return max(readings, key=lambda r: r.as_of_ms, default=None)
+
+    async def _read(
+        self, feed: feed_module.Feed, address: str, wait_ms: int
+    ) -> feed_module.Reading | None:
         asked_ms = self._clock.boot_ms()
         query = {}
         if feed.next_offset is not None:
-            query["from"] = str(feed.next_offset)
+            query = {"from": str(feed.next_offset), "wait_ms": str(wait_ms)}
         timeout = aiohttp.ClientTimeout(
-            total=PEER_TIMEOUT_MS / 1000,
+            total=(PEER_TIMEOUT_MS + wait_ms) / 1000,
             sock_connect=connections.CONNECT_TIMEOUT_MS / 1000,
         )
         try:
@@ -243,7 +254,7 @@
                 timeout=timeout,
             ) as response:
                 if response.status != 200:
-                    return False
+                    return None
                 data = orjson.loads(await response.read())
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             LOG.info(
@@ -255,25 +266,44 @@
                     "reason": repr(error),
                 },
             )
-            return False
-        found = [
-            records.KeyedRecord(
-                offset,
-                key,
-                None if value is None else base64.b64decode(value),
-            )
-            for offset, key, value in data["records"]
-        ]
-        page = records.Page(found, data["next_offset"], True, data["snapshot"])
-        feed.take(page, asked_ms - data["age_ms"])
-        LOG.info(
-            "records read from a peer",
-            extra={
-                "event": "link.records",
-                "peer": address,
-                "topic": feed.name,
-                "count": len(found),
-                "age_ms": data["age_ms"],
-            },
+            return None
+        # The age counts from when the peer got the request, which was not
+        # before this router sent it.
+        as_of_ms = asked_ms - data["age_ms"]
+        return feed_module.Reading(_decode_page(data), as_of_ms)
+
+
+def _count(value: str | None) -> int | None:
+    return int(value) if value is not None and value.isdigit() else None
+
+
+def _encode_page(page: records.Page, age_ms: int) -> bytes:
+    return orjson.dumps(
+        {
+            "age_ms": age_ms,
+            "next_offset": page.next_offset,
+            "snapshot": page.snapshot,
+            "records": [
+                [
+                    record.offset,
+                    record.key,
+                    None
+                    if record.value is None
+                    else base64.b64encode(record.value).decode(),
+                ]
+                for record in page.records
+            ],
+        }
+    )
+
+
+def _decode_page(data: dict[str, typing.Any]) -> records.Page:
+    found = [
+        records.KeyedRecord(
+            offset,
+            key,
+            None if value is None else base64.b64decode(value),
         )
-        return True
+        for offset, key, value in data["records"]
+    ]
+    return records.Page(found, data["next_offset"], True, data["snapshot"])
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -36,12 +36,12 @@
 LOG = logging.getLogger(__name__)
 
 # A read of the configuration returns when there is news, or after this.
-CONFIGURATION_WAIT_MS = 1_000
+CONFIGURATION_WAIT_MS = 700
 # Pause after news, so that a series of changes costs few reads.
 CONFIGURATION_PAUSE_MS = 100
 # The list of targets changes with every heartbeat; waiting for news would
 # cost a read for each.
-TARGETS_INTERVAL_MS = 800
+TARGETS_INTERVAL_MS = 600
 ROUTERS_INTERVAL_MS = 15_000
 REPORT_INTERVAL_MS = 250
 EXPIRE_INTERVAL_MS = 250
@@ -104,10 +104,12 @@
         for seed in settings.seeds:
             self._peers.introduce(seed, "")
         self._feeds = {
-            name: feed_module.Feed(name, apply, self._count_read, clock)
-            for name, apply in (
-                ("configuration", self._apply_configuration),
-                ("targets", self._apply_listing),
+            name: feed_module.Feed(
+                name, apply, meaning, self._count_read, clock
+            )
+            for name, apply, meaning in (
+                ("configuration", self._apply_configuration, _as_it_is),
+                ("targets", self._apply_listing, listings.meaning),
             )
         }
         self._residence = residence_module.Residence(clock)
@@ -257,8 +259,9 @@
 
         await feed_module.follow(
             self._feeds[name],
-            read,
-            self._links.read_peer,
+            feed_module.Sources(
+                read, self._links.read_collector, self._links.read_peers
+            ),
             interval_ms,
             self._targets.note_store_back,
             self._clock,
@@ -409,6 +412,10 @@
         await self._stack.aclose()
 
 
+def _as_it_is(_: str, value: bytes) -> object:
+    return value
+
+
 def _server(
     handler: abc.Callable[
         [web.BaseRequest], abc.Awaitable[web.StreamResponse]
--- a/src/bulrushdale/platform/listings.py
+++ b/src/bulrushdale/platform/listings.py
@@ -1,5 +1,6 @@
 """Decodes the entries that targets keep of themselves in the store."""
 
+import dataclasses
 import typing
 
 import orjson
@@ -61,3 +62,17 @@
         # Counted from when the target wrote it, not from when it is read.
         slow_start_ms=_count(data, "cold_remaining_ms", 0),
     )
+
+
+def meaning(target_id: str, value: bytes) -> object:
+    """Return what an entry says; heartbeats change only its sequence.
+
+    :param target_id: the entry's key.
+    :param value: its value.
+    """
+    try:
+        listing = decode(target_id, value)
+    except ListingError:
+        return value
+    # It counts down with each heartbeat from what the first one said.
+    return dataclasses.replace(listing, slow_start_ms=0)
--- a/src/bulrushdale/routing/peers.py
+++ b/src/bulrushdale/routing/peers.py
@@ -227,6 +227,20 @@
         peer.passed_over_ms = now_ms
         return True
 
+    def collector(self) -> str | None:
+        """Return the collector of this router's data centre.
+
+        :return: none if that is this router.
+        """
+        found = self._collector(self._data_centre)
+        return None if found == self._own_address else found
+
+    def pass_over(self, address: str) -> None:
+        """Note that a router did not answer."""
+        peer = self._peers.get(address)
+        if peer is not None:
+            peer.passed_over_ms = self._clock.now_ms()
+
     def _reporting(self) -> list[Report]:
         """Return the reports that routers of this data centre sent here."""
         return [
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,154 @@
+"""Copies of topics, from the store, a collector or any peer."""
+
+import asyncio
+
+import pytest
+
+from bulrushdale import clock as clock_module
+from bulrushdale.forwarding import feed as feed_module
+from bulrushdale.forwarding import records
+
+
+def page(*found, next_offset=None, snapshot=False):
+    end = found[-1].offset + 1 if found else 0
+    return records.Page(
+        list(found),
+        end if next_offset is None else next_offset,
+        True,
+        snapshot,
+    )
+
+
+def record(offset, key="k", value=b"v"):
+    return records.KeyedRecord(offset, key, value)
+
+
+@pytest.fixture
+def applied():
+    """What the feed told its owner."""
+    return []
+
+
+@pytest.fixture
+def make_feed(applied, clock):
+    def make(clock=clock):
+        return feed_module.Feed(
+            "topic",
+            lambda key, value: applied.append((key, value)),
+            lambda key, value: value.rstrip(b"0123456789"),
+            lambda feed, outcome: None,
+            clock,
+        )
+
+    return make
+
+
+def test_older_records_change_nothing(make_feed, applied):
+    feed = make_feed()
+    feed.take(page(record(5, value=b"new")), 1)
+    feed.take(page(record(3, value=b"old")), 2)
+    assert applied == [("k", b"new")]
+    assert feed.next_offset == 6
+
+
+def test_snapshot_drops_what_it_does_not_hold(make_feed, applied):
+    feed = make_feed()
+    feed.take(page(record(0, "a"), record(1, "b")), 1)
+    feed.take(page(record(1, "b"), next_offset=9, snapshot=True), 2)
+    assert applied[-1] == ("a", None)
+    assert feed.since(2).records == [record(8, "a", None)]
+
+
+def test_heartbeats_are_no_news(make_feed, applied):
+    feed = make_feed()
+    feed.take(page(record(0, value=b"same 1")), 1)
+    feed.take(page(record(1, value=b"same 2"), record(2, value=b"same 3")), 2)
+    assert len(applied) == 1
+    assert feed.since(1).records == []
+    assert feed.next_offset == 3
+
+
+def test_age_counts_from_the_start_of_the_read(make_feed, clock):
+    feed = make_feed()
+    asked_ms = clock.boot_ms()
+    clock.advance(400)
+    feed.take(page(), asked_ms)
+    assert feed.age_ms() == 400
+
+
+async def test_peers_wait_for_news(make_feed):
+    feed = make_feed()
+    feed.take(page(record(0)), 1)
+    waiting = asyncio.ensure_future(feed.wait_for_news(1, 5_000))
+    await asyncio.sleep(0)
+    feed.take(page(record(1, value=b"other")), 2)
+    async with asyncio.timeout(1):
+        await waiting
+
+
+class Reads:
+    """Sources that a test switches on and off."""
+
+    def __init__(self, feed, clock):
+        self.calls = []
+        self.store_up = True
+        self.reader_age_ms = 0
+        self.clock = clock
+
+        async def store(offset):
+            self.calls.append("store")
+            await asyncio.sleep(0)
+            if not self.store_up:
+                raise records.SourceError("down")
+            return page(next_offset=1)
+
+        async def reader(_):
+            self.calls.append("reader")
+            await asyncio.sleep(0.01)
+            if self.reader_age_ms is None:
+                return None
+            as_of_ms = clock.boot_ms() - self.reader_age_ms
+            return feed_module.Reading(page(next_offset=1), as_of_ms)
+
+        async def peers(_):
+            self.calls.append("peers")
+            return feed_module.Reading(page(next_offset=1), clock.boot_ms())
+
+        self.sources = feed_module.Sources(store, reader, peers)
+
+
+async def run(make_feed, **state):
+    clock = clock_module.Clock()
+    feed = make_feed(clock)
+    reads = Reads(feed, clock)
+    for name, value in state.items():
+        setattr(reads, name, value)
+    returns = []
+    work = asyncio.ensure_future(
+        feed_module.follow(
+            feed, reads.sources, 10, lambda: returns.append(1), clock
+        )
+    )
+    await asyncio.sleep(0.2)
+    work.cancel()
+    return feed, reads
+
+
+async def test_store_is_spared_while_the_collector_is_up_to_date(make_feed):
+    feed, reads = await run(make_feed)
+    assert set(reads.calls) == {"reader"}
+    assert feed.age_ms() < 100
+
+
+@pytest.mark.parametrize("age_ms", [None, feed_module.READER_AGE_MS + 500])
+async def test_store_is_read_when_the_collector_is_no_use(make_feed, age_ms):
+    feed, reads = await run(make_feed, reader_age_ms=age_ms)
+    assert "store" in reads.calls
+    assert feed.age_ms() < 100
+
+
+async def test_any_peer_is_asked_when_the_store_is_away_too(make_feed):
+    feed, reads = await run(make_feed, reader_age_ms=None, store_up=False)
+    assert "peers" in reads.calls
+    assert feed.away
+    assert feed.age_ms() < 500
