--- a/src/bulrushdale/cli.py
+++ b/src/bulrushdale/cli.py
@@ -12,7 +12,10 @@
 from bulrushdale import client as client_module
 from bulrushdale import clock as clock_module
 from bulrushdale import daemon
+from bulrushdale.forwarding import settings as forwarding_settings
+from bulrushdale.platform import settings as platform_settings
 from bulrushdale import settings as settings_module
+from bulrushdale import stories
 
 STATUS_POLL_S = 0.25
 
@@ -45,6 +48,13 @@
         raise CommandError(error.show()) from None
 
 
+def _load_platform(path: str) -> forwarding_settings.Settings:
+    try:
+        return platform_settings.load(path)
+    except settings_module.SettingsError as error:
+        raise CommandError(error.show()) from None
+
+
 @main.command()
 @click.option(
     "--config", "path", required=True, metavar="FILE", help="Settings file."
@@ -64,12 +74,17 @@
 def check_config(path: str) -> None:
     """Check a settings FILE without starting anything.
 
+    A file that ends in .toml is taken for one that the platform wrote.
+
     \b
     Example:
       bulrushdale check-config router.yaml
     """
-    settings = _load(path)
-    click.echo(f"{path}: settings of router {settings.router} are valid")
+    if path.endswith(".toml"):
+        router_name = _load_platform(path).router
+    else:
+        router_name = _load(path).router
+    click.echo(f"{path}: settings of router {router_name} are valid")
 
 
 @main.command()
@@ -142,6 +157,26 @@
         )
 
 
+@main.command()
+@click.argument("request_id")
+@click.argument("paths", metavar="LOG...", nargs=-1, required=True)
+def story(request_id: str, paths: tuple[str, ...]) -> None:
+    """Say what became of REQUEST_ID, from the LOG files of routers.
+
+    \b
+    Example:
+      bulrushdale story 9c41d07be2a35f68 logs/*.jsonl
+    """
+    try:
+        steps = stories.read(paths, request_id)
+    except stories.LogFileError as error:
+        raise CommandError(str(error)) from None
+    if not steps:
+        raise CommandError(f"no line of these files names {request_id}")
+    for step in steps:
+        click.echo(stories.show(step))
+
+
 @main.command()
 @_ROUTER
 @_KEY
--- a/src/bulrushdale/forwarding/links.py
+++ b/src/bulrushdale/forwarding/links.py
@@ -234,7 +234,18 @@
             *(self._read(feed, address, 0) for address in asked)
         )
         readings = [reading for reading in found if reading is not None]
-        return max(readings, key=lambda r: r.as_of_ms, default=None)
+        newest = max(readings, key=lambda r: r.as_of_ms, default=None)
+        if newest is not None and newest.page.records:
+            LOG.info(
+                "records read from peers",
+                extra={
+                    "event": "link.records",
+                    "topic": feed.name,
+                    "count": len(newest.page.records),
+                    "age_ms": self._clock.boot_ms() - newest.as_of_ms,
+                },
+            )
+        return newest
 
     async def _read(
         self, feed: feed_module.Feed, address: str, wait_ms: int
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -348,8 +348,10 @@
             target.leaving = True
 
     def _note_failed(self, target: targets_module.Target, reason: str) -> None:
-        """Log that a target failed the request; end it unless it may run
-        again."""
+        """Log that a target failed the request.
+
+        :raises Exception: that ends the request if it may not run again.
+        """
         target.health.note(failed=True)
         self._count_attempt("failed")
         self._log("request.failed", target=target.target_id, reason=reason)
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -3,12 +3,14 @@
 import asyncio
 from collections import abc
 import contextlib
+import dataclasses
 import logging
+import signal
 import socket
 import sys
 
-import aiomisc
 from aiohttp import web
+import aiomisc
 
 from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import callers
@@ -55,6 +57,7 @@
     """Runs one router until it is told to stop, then drains it."""
 
     settings: settings_module.Settings
+    load_settings: abc.Callable[[], settings_module.Settings]
 
     async def start(self) -> None:
         """Open the ports and start the background work."""
@@ -77,8 +80,41 @@
         self._scraped = await self._listen(
             _server(self._tell_metrics), self.settings.metrics_port
         )
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         LOG.info("router started", extra={"event": "router.started"})
 
+    def _reload(self) -> None:
+        """Read the settings file again.
+
+        Addresses and ports stay as they are until the next start; limits and
+        bounds are taken over.
+        """
+        try:
+            fresh = self.load_settings()
+        except settings_error.SettingsError as error:
+            LOG.error(
+                "settings not taken over",
+                extra={"event": "router.settings", "changed": str(error)},
+            )
+            return
+        changed = [
+            field.name
+            for field in dataclasses.fields(fresh)
+            if getattr(fresh, field.name) != getattr(self.settings, field.name)
+        ]
+        self.settings = fresh
+        self._parts.key_age_limit_ms = fresh.key_age_limit_ms
+        self._parts.budget.limit(
+            fresh.retry_ratio, fresh.retry_slack, fresh.retry_window_ms
+        )
+        for seed in fresh.seeds:
+            self._peers.introduce(seed, "")
+        LOG.info(
+            "settings read again",
+            extra={"event": "router.settings", "changed": changed},
+        )
+
     async def _wire(self) -> None:
         """Build the parts and connect them."""
         settings = self.settings
@@ -431,18 +467,20 @@
     )
 
 
+def _load() -> settings_module.Settings:
+    return platform_settings.load(platform_settings.path_from_environment())
+
+
 def main() -> None:
     """Run a router with the settings that the platform provides."""
     try:
-        settings = platform_settings.load(
-            platform_settings.path_from_environment()
-        )
+        settings = _load()
     except settings_error.SettingsError as error:
         print(error.show(), file=sys.stderr)
         sys.exit(2)
     logs.configure(settings.router)
     with aiomisc.entrypoint(
-        Gateway(settings=settings),
+        Gateway(settings=settings, load_settings=_load),
         log_config=False,
         pool_size=2,
         shutdown_timeout=settings.drain_timeout_ms / 1000 + 1,
--- a/src/bulrushdale/routing/budget.py
+++ b/src/bulrushdale/routing/budget.py
@@ -32,11 +32,15 @@
         window_ms: int,
     ) -> None:
         self._clock = clock
+        self.limit(ratio, slack, window_ms)
+        self._sent: dict[str, collections.deque[int]] = {}
+        self._asked: dict[str, collections.deque[int]] = {}
+
+    def limit(self, ratio: float, slack: float, window_ms: int) -> None:
+        """Change what the budget allows; what was spent stays spent."""
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms
-        self._sent: dict[str, collections.deque[int]] = {}
-        self._asked: dict[str, collections.deque[int]] = {}
 
     def note_request(self, service: str) -> None:
         """Count a caller's request for a service."""
--- a/src/bulrushdale/routing/residence.py
+++ b/src/bulrushdale/routing/residence.py
@@ -8,8 +8,8 @@
 traffic follow what has changed lately, not the number of chats.
 """
 
-from collections import abc
 import collections
+from collections import abc
 
 from bulrushdale import clock as clock_module
 
--- a/src/bulrushdale/routing/selection.py
+++ b/src/bulrushdale/routing/selection.py
@@ -1,6 +1,7 @@
 """Brings together what bears on the choice of a target."""
 
 from collections import abc
+import logging
 
 from bulrushdale import clock as clock_module
 from bulrushdale import hashing
@@ -12,6 +13,8 @@
 from bulrushdale.routing import routes
 from bulrushdale.routing import targets as targets_module
 
+LOG = logging.getLogger(__name__)
+
 
 class Selection:
     """Chooses targets from the list, health and load.
@@ -131,8 +134,18 @@
         for target in staying:
             if aside >= most:
                 return
-            if not target.health.resting and health.is_outlier(
-                results[target.target_id], total
-            ):
+            own = results[target.target_id]
+            if not target.health.resting and health.is_outlier(own, total):
                 target.health.rest()
                 aside += 1
+                LOG.warning(
+                    "target set aside",
+                    extra={
+                        "event": "target.resting",
+                        "target": target.target_id,
+                        "service": service,
+                        "failed": own.failed,
+                        "done": own.done,
+                        "for_ms": health.REST_MS,
+                    },
+                )
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -155,10 +155,11 @@
         return target
 
     async def add_router(self, **changes):
+        settings = make_settings(
+            **{"store_address": self.store_address, **changes}
+        )
         router = gateway.Gateway(
-            settings=make_settings(
-                **{"store_address": self.store_address, **changes}
-            )
+            settings=settings, load_settings=lambda: settings
         )
         await router.start()
         self.routers.append(router)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -107,3 +107,52 @@
     found = run(*command, "--help")
     assert found.exit_code == 0
     assert "Example:" in found.output
+
+
+PLATFORM_SETTINGS = """
+node_name = "r1"
+ip = "10.1.0.40"
+zone = "dc1"
+internal_ports = [7340, 7355]
+seeds = ["10.1.0.41:8229"]
+unknown = "is left alone"
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+[platform]
+address = "10.200.1.7:8223"
+"""
+
+
+def test_settings_of_the_platform_are_checked(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "local.toml"
+    path.write_text(PLATFORM_SETTINGS)
+    found = run("check-config", str(path))
+    assert found.output.strip().endswith("settings of router r1 are valid")
+    path.write_text(PLATFORM_SETTINGS.replace("zone =", "area ="))
+    found = run("check-config", str(path))
+    assert found.exit_code == 2
+    assert found.output.strip() == f"bulrushdale: {path}: zone: Field required"
+
+
+def test_story_joins_the_logs_of_several_routers(
+    tmp_path: pathlib.Path,
+) -> None:
+    for name, second, event in (("r2", 2, "answered"), ("r1", 1, "placed")):
+        (tmp_path / name).write_text(
+            "not a line of ours\n"
+            f'{{"timestamp":"T{second}","router":"{name}",'
+            f'"event":"request.{event}","request_id":"q1","load":3}}\n'
+            '{"event":"request.placed","request_id":"q2"}\n'
+        )
+    files = [str(tmp_path / name) for name in ("r2", "r1")]
+    found = run("story", "q1", *files)
+    assert found.output.splitlines() == [
+        "T1  r1  request.placed       load=3",
+        "T2  r2  request.answered     load=3",
+    ]
+    found = run("story", "q9", *files)
+    assert found.exit_code == 2
+    assert "no line of these files names q9" in found.output
+    found = run("story", "q1", str(tmp_path / "missing"))
+    assert found.exit_code == 2
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,8 +1,11 @@
 """Requests through a router of the platform, with targets that fail."""
 
 import asyncio
-import struct
+import dataclasses
+import os
+import signal
 import socket
+import struct
 
 import aiohttp
 import pytest
@@ -456,6 +459,17 @@
         assert response.status == 200
 
 
+async def test_settings_are_read_again(deployment):
+    router = deployment.routers[0]
+    fresh = dataclasses.replace(router.settings, key_age_limit_ms=1)
+    router.load_settings = lambda: fresh
+    os.kill(os.getpid(), signal.SIGHUP)
+    await asyncio.sleep(0.05)
+    assert router.settings.key_age_limit_ms == 1
+    await asyncio.sleep(0.05)
+    assert not router.is_ready()
+
+
 async def test_stop_finishes_requests_and_closes_idle_connections(
     deployment, caller
 ):
