Let requests wait for a router that starts

Ruled out: the store, which answered within 20 ms. The age is taken over with each read now, and a request waits up to 300 ms for the first configuration and list. test_requests_wait_for_a_router_that_starts failed first.

--- a/src/bulrushdale/forwarding/callers.py
+++ b/src/bulrushdale/forwarding/callers.py
@@ -1,5 +1,6 @@
 """The port for callers."""
 
+import asyncio
 import logging
 
 from aiohttp import web
@@ -11,6 +12,10 @@
 
 LOG = logging.getLogger(__name__)
 
+# A router that starts knows its configuration and targets within some 50 ms
+# if the store answers; a request can wait for that, but not for an outage.
+START_WAIT_MS = 300
+
 
 class Activity:
     """Requests being served, and whether the router stops.
@@ -18,14 +23,17 @@
     :ivar busy: the connections that a request is served on.
     :ivar draining: whether the router stops.
     :ivar closed: whether it stops and takes no more requests.
+    :ivar listed: set once the targets are known, which come last when a
+        router starts.
     """
 
-    __slots__ = ("busy", "draining", "closed")
+    __slots__ = ("busy", "draining", "closed", "listed")
 
     def __init__(self) -> None:
         self.busy: set[web.RequestHandler] = set()
         self.draining = False
         self.closed = False
+        self.listed = asyncio.Event()
 
     @property
     def requests(self) -> int:
@@ -95,6 +103,7 @@
                 raise refusals.refuse(
                     results.Code.STOPPING, "this router stops"
                 )
+            await self._wait_for_start()
             body = await _read_body(request, self._body_limit_bytes())
             try:
                 call = self._parts.wire.decode_call(request, body)
@@ -130,6 +139,19 @@
             )
             return proxy.refusal_response(refusal, request_id)
 
+    async def _wait_for_start(self) -> None:
+        """Hold a request that came before the first list of targets."""
+        if self._activity.listed.is_set():
+            return
+        try:
+            async with asyncio.timeout(START_WAIT_MS / 1000):
+                await self._activity.listed.wait()
+        except TimeoutError:
+            LOG.info(
+                "start takes long",
+                extra={"event": "router.starting", "wait_ms": START_WAIT_MS},
+            )
+
     def _body_limit_bytes(self) -> int:
         configuration = self._parts.revisions.current
         if configuration is None:
--- a/src/bulrushdale/forwarding/feed.py
+++ b/src/bulrushdale/forwarding/feed.py
@@ -43,6 +43,8 @@
 
     :param name: the topic's name, for logs and peers.
     :param apply: called with each key that changed, and its value or none.
+    :param confirm: called with the time, in ms of the boot clock, at which
+        the copy was last known to be up to date.
     :param meaning: what a value says; a record that says the same as the
         one before is no news to peers.
     :param count_read: counts a read by this feed's name and outcome.
@@ -56,6 +58,7 @@
     __slots__ = (
         "name",
         "_apply",
+        "_confirm",
         "_meaning",
         "_changed",
         "_clock",
@@ -71,12 +74,14 @@
         self,
         name: str,
         apply: Apply,
+        confirm: abc.Callable[[int], None],
         meaning: Meaning,
         count_read: abc.Callable[[str, str], None],
         clock: clock_module.Clock,
     ) -> None:
         self.name = name
         self._apply = apply
+        self._confirm = confirm
         self._meaning = meaning
         self._changed = asyncio.Event()
         self._count_read = count_read
@@ -104,6 +109,7 @@
             self.confirmed_ms is None or as_of_ms > self.confirmed_ms
         ):
             self.confirmed_ms = as_of_ms
+            self._confirm(as_of_ms)
 
     def _put(self, record: records.KeyedRecord) -> None:
         known = self._records.get(record.key)
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -133,6 +133,7 @@
         session, once_session, own_session = opened
         self._metrics = metrics_module.Metrics()
         self._store = store_module.Store(own_session, settings.store_address)
+        self._activity = callers.Activity()
         self._revisions = revisions_module.Revisions(clock)
         self._targets = targets_module.Targets(clock)
         address = f"{settings.host}:{settings.link_port}"
@@ -141,11 +142,21 @@
             self._peers.introduce(seed, "")
         self._feeds = {
             name: feed_module.Feed(
-                name, apply, meaning, self._count_read, clock
+                name, apply, confirm, meaning, self._count_read, clock
             )
-            for name, apply, meaning in (
-                ("configuration", self._apply_configuration, _as_it_is),
-                ("targets", self._apply_listing, listings.meaning),
+            for name, apply, confirm, meaning in (
+                (
+                    "configuration",
+                    self._apply_configuration,
+                    self._revisions.confirm,
+                    _as_it_is,
+                ),
+                (
+                    "targets",
+                    self._apply_listing,
+                    self._note_listed,
+                    listings.meaning,
+                ),
             )
         }
         self._residence = residence_module.Residence(clock)
@@ -158,7 +169,6 @@
             clock,
         )
         self._prober = probes.Prober(self._targets, clock)
-        self._activity = callers.Activity()
         self._sequence = 0
         self._started_ms = clock.wall_ms()
         self._parts = proxy.Parts(
@@ -237,6 +247,9 @@
             counts[target.state] += 1
         return counts
 
+    def _note_listed(self, _: int) -> None:
+        self._activity.listed.set()
+
     def _apply_configuration(self, key: str, value: bytes | None) -> None:
         if key != store_module.CONFIGURATION_KEY or value is None:
             return
@@ -377,9 +390,6 @@
 
     async def _expire(self) -> None:
         self._targets.expire(self._peers.store_up_ms())
-        confirmed_ms = self._feeds["configuration"].confirmed_ms
-        if confirmed_ms is not None:
-            self._revisions.confirm(confirmed_ms)
 
     async def _listen(self, server: web.Server, port: int) -> web.ServerRunner:
         runner = web.ServerRunner(server, shutdown_timeout=0.1)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -35,6 +35,7 @@
         return feed_module.Feed(
             "topic",
             lambda key, value: applied.append((key, value)),
+            lambda as_of_ms: None,
             lambda key, value: value.rstrip(b"0123456789"),
             lambda feed, outcome: None,
             clock,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -442,6 +442,15 @@
         assert response.status == 200
 
 
+async def test_requests_wait_for_a_router_that_starts(deployment, caller):
+    """No caller is refused between the port's opening and the first read."""
+    router = await deployment.add_router(router="r2")
+    async with caller.post(
+        deployment.url("/order/x", router), headers=headers()
+    ) as response:
+        assert response.status == 200
+
+
 async def test_keys_age_while_nobody_reaches_the_store(deployment, caller):
     deployment.store.refuse = 503
     await asyncio.sleep(4.6)
