--- a/src/bulrushdale/forwarding/attempt.py
+++ b/src/bulrushdale/forwarding/attempt.py
@@ -49,6 +49,8 @@
     response: aiohttp.ClientResponse
 
 
+# Characters of an error's text in logs and refusals.
+MOST_ERROR_TEXT = 120
 # Raises TimeoutError when the wait is over.
 Wait = contextlib.AbstractAsyncContextManager[None]
 DecodeAnswer = typing.Callable[[int, typing.Any], calls.AnswerHead]
@@ -86,13 +88,13 @@
                 allow_redirects=False,
             )
     except aiohttp.ClientConnectorError as error:
-        return NotRun(f"no connection: {error!r}", sent=False)
+        return NotRun(f"no connection: {describe(error)}", sent=False)
     except aiohttp.ConnectionTimeoutError:
         return NotRun("connecting timed out", sent=False)
     except TimeoutError:
         return Unknown("no answer in time")
     except _LOST as error:
-        return Unknown(f"connection lost: {error!r}")
+        return Unknown(f"connection lost: {describe(error)}")
     head = decode(response.status, response.headers)
     fault = _fault(head, call)
     if fault is None:
@@ -101,6 +103,15 @@
     return fault
 
 
+def describe(error: BaseException) -> str:
+    """Return an error as a short text without the request's headers."""
+    if isinstance(error, aiohttp.ClientResponseError):
+        text = error.message.partition("\n")[0]
+    else:
+        text = str(error)
+    return f"{type(error).__name__}: {text[:MOST_ERROR_TEXT]}".rstrip(": ")
+
+
 def _fault(
     head: calls.AnswerHead, call: calls.Call
 ) -> NotRun | Unknown | None:
@@ -130,7 +141,7 @@
     except TimeoutError:
         return Unknown("body not complete in time")
     except _LOST as error:
-        return Unknown(f"body cut short: {error!r}")
+        return Unknown(f"body cut short: {describe(error)}")
     finally:
         # Gives a connection back only if the body was read to its end.
         opened.response.close()
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -219,7 +219,7 @@
             self._call, self._route, self._service, self._tried
         )
         if target is None:
-            raise self._end("no target can be reached")
+            raise self._end(self._parts.selection.why_none(self._service))
         if self._offers and not self._parts.budget.spend(
             self._service, self._parts.peers.count()
         ):
@@ -419,7 +419,7 @@
             except TimeoutError:
                 return "no event in time"
             except (aiohttp.ClientError, OSError) as error:
-                return f"stream cut: {error!r}"
+                return f"stream cut: {attempt.describe(error)}"
             found = self._splitter.feed(data)
             if found.data:
                 response = await self._begun(opened.head)
--- a/src/bulrushdale/routing/selection.py
+++ b/src/bulrushdale/routing/selection.py
@@ -1,5 +1,6 @@
 """Brings together what bears on the choice of a target."""
 
+import collections
 from collections import abc
 import logging
 
@@ -121,6 +122,16 @@
         well = [t for t in reachable if not t.health.resting]
         return well or reachable
 
+    def why_none(self, service: str) -> str:
+        """Return why no target of a service came into question."""
+        states = collections.Counter(
+            target.state
+            for target in self._targets.all()
+            if target.listing.service == service
+        )
+        counts = ", ".join(f"{n} {state}" for state, n in states.items())
+        return f"no target of service {service!r} left: {counts or 'none'}"
+
     def judge(self, service: str) -> None:
         """Set targets aside that fail far more than their service."""
         staying = self._targets.staying(service)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -188,6 +188,17 @@
     assert len(received(deployment, "/order/")) == 1
 
 
+async def test_refusal_tells_no_headers(deployment, caller):
+    """A failed parse carries the whole request in its error's repr."""
+    everyone(deployment, no_http)
+    async with caller.post(
+        deployment.url("/order/x"), headers=headers(X_Own="secret")
+    ) as response:
+        body = await response.text()
+    assert "secret" not in body
+    assert "Expect" not in body
+
+
 async def test_targets_own_failure_is_passed_on(deployment, caller):
     everyone(deployment, fail)
     async with caller.post(
