--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -196,7 +196,7 @@
     ) as response:
         body = await response.text()
     assert "secret" not in body
-    assert "Expect" not in body
+    assert "RequestInfo" not in body
 
 
 async def test_targets_own_failure_is_passed_on(deployment, caller):
@@ -294,6 +294,27 @@
     assert len(received(deployment, "/chat/")) == 1
 
 
+async def unframed_cut_within_event(request, writer):
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\n"
+        b"X-Request-Id: %b\r\n\r\n" % request.request_id.encode()
+    )
+    writer.write(scripted_target.event(0) + scripted_target.event(1)[:-4])
+    await writer.drain()
+    return False
+
+
+async def test_stream_without_framing_that_ends_within_an_event_is_cut(
+    deployment, caller
+):
+    everyone(deployment, unframed_cut_within_event)
+    with pytest.raises(aiohttp.ClientPayloadError):
+        async with caller.post(
+            deployment.url("/chat/x"), headers=headers()
+        ) as response:
+            await response.read()
+
+
 async def unframed_reset(request, writer):
     writer.write(
         b"HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\n"
@@ -497,10 +518,10 @@
         await asyncio.sleep(0.5)
         writer.write(scripted_target.answer(request))
 
-    async with caller.post(
-        deployment.url("/order/x"), headers=headers("idle")
-    ) as response:
-        await response.read()
+    port = deployment.routers[0].settings.caller_port
+    idle, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"GET /nowhere/ HTTP/1.1\r\nHost: example.test\r\n\r\n")
+    await idle.readuntil(b"}}")
     everyone(deployment, slowly)
     pending = asyncio.ensure_future(
         caller.post(deployment.url("/order/x"), headers=headers("slow"))
@@ -510,6 +531,9 @@
     stopping = asyncio.ensure_future(router.stop())
     await asyncio.sleep(0.05)
     assert not router.is_ready()
+    async with asyncio.timeout(0.2):
+        assert await idle.read() == b""
+    writer.close()
     response = await pending
     assert response.status == 200
     assert response.headers["Connection"] == "close"
