Add the soak: real router processes under faults from outside, checked from callers and targets

Signals (kill, stop, freeze) in series and overlapping, proxies that delay, silence, cut one way, reset and refuse, targets that hang, cut, repeat and fail. Its first seeds showed two faults of the soak itself: a router started twice, and 401 for a request sent with the key that was being taken away. The store is spared by all but the data centre's reader while it is away (test_store_that_is_away_is_spared_by_all_but_the_reader).

--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,100 @@
+"""A TCP proxy on loopback that delays, silences, resets or refuses."""
+
+import asyncio
+import contextlib
+import enum
+import socket
+import struct
+
+CHUNK_BYTES = 65_536
+
+
+class Mode(enum.Enum):
+    """What the proxy does with its connections."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    SILENT = "silent"
+    ONE_WAY = "one_way"
+    REFUSE = "refuse"
+
+
+class Proxy:
+    """Passes connections on to one address.
+
+    :param upstream: IP and port behind it.
+
+    :ivar mode: what it does now, also with open connections.
+    :ivar address: where it listens.
+    """
+
+    def __init__(self, upstream: str) -> None:
+        self._upstream = upstream
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.mode = Mode.PASS
+        self.address = ""
+
+    async def start(self, host: str = "127.0.0.1") -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._accept, host, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{host}:{port}"
+
+    def stop(self) -> None:
+        """Close the port."""
+        if self._server is not None:
+            self._server.close()
+
+    def reset(self) -> None:
+        """Reset every open connection."""
+        for writer in list(self._writers):
+            _reset(writer)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.mode is Mode.REFUSE:
+            _reset(writer)
+            return
+        host, _, port = self._upstream.rpartition(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                host, int(port)
+            )
+        except OSError:
+            _reset(writer)
+            return
+        self._writers |= {writer, far_writer}
+        await asyncio.gather(
+            self._pump(reader, far_writer, back=False),
+            self._pump(far_reader, writer, back=True),
+        )
+        self._writers -= {writer, far_writer}
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        back: bool,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                await self._hold(back)
+                writer.write(data)
+                await writer.drain()
+        writer.close()
+
+    async def _hold(self, back: bool) -> None:
+        if self.mode is Mode.DELAY:
+            await asyncio.sleep(0.1)
+        while self.mode is Mode.SILENT or (back and self.mode is Mode.ONE_WAY):  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
--- /dev/null
+++ b/soak/scenario.py
@@ -0,0 +1,428 @@
+"""One run of the soak: processes, faults and callers from one seed."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+
+import aiohttp
+from aiohttp import web
+import orjson
+
+from examples.standins import keyed_store
+from examples.standins import scripted_target
+from soak import proxy as proxy_module
+from soak import witness as witness_module
+
+HOST = "127.0.0.1"
+CALLERS = 12
+STREAM_EVENTS = 12
+TARGETS = 4
+FAULT_GAP_S = 0.7
+OLD_KEY, KEY = "key-old", "key-new"
+
+SETTINGS = """
+node_name = "r{n}"
+ip = "{ip}"
+zone = "dc{zone}"
+internal_ports = [{port}, {port}]
+seeds = ["{seed}:1"]
+[listen]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+[bounds]
+grace_s = 5
+[platform]
+address = "{store}"
+"""
+
+
+def _now_ms() -> int:
+    return time.monotonic_ns() // 1_000_000
+
+
+def _router_ip(number: int) -> str:
+    """Return a loopback address that no other soak on this machine uses."""
+    pid = os.getpid()
+    return f"127.{20 + pid // 250 % 200}.{1 + pid % 250}.{number}"
+
+
+class Router:
+    """A router process with its own way to the store.
+
+    :param number: from 1 on; gives its loopback address.
+    :param folder: for its settings and log.
+
+    :ivar ending: whether it was told to end and is to be started again.
+    """
+
+    def __init__(self, number: int, folder: pathlib.Path) -> None:
+        self.ip = _router_ip(number)
+        self.front = f"{self.ip}:18081"
+        self._number = number
+        self._folder = folder
+        self._process: asyncio.subprocess.Process | None = None
+        self.store: proxy_module.Proxy | None = None
+        self.ending = False
+
+    async def start(self) -> None:
+        """Start the process."""
+        settings = self._folder / f"r{self._number}.toml"
+        settings.write_text(
+            SETTINGS.format(
+                n=self._number,
+                ip=self.ip,
+                seed=_router_ip(1),
+                zone=self._number % 2,
+                port=18083,
+                front=18081,
+                ready=18082,
+                store=self.store.address if self.store else "",
+            )
+        )
+        log = self._folder / f"r{self._number}.log"
+        with log.open("ab") as out:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "bulrushdale.gateway",
+                env={**os.environ, "BULRUSHDALE_CONFIG": str(settings)},
+                stdout=out,
+                stderr=out,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send the process a signal, if it runs."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def ended(self) -> None:
+        """Wait for the end of the process."""
+        if self._process is not None:
+            await self._process.wait()
+
+
+class Run:
+    """What one run works with.
+
+    :param seed: decides faults and requests.
+    :param routers: how many processes.
+    :param folder: for settings and logs.
+    """
+
+    def __init__(self, seed: int, routers: int, folder: pathlib.Path) -> None:
+        self.random = random.Random(seed)
+        self.witness = witness_module.Witness()
+        self.store = keyed_store.KeyedStore()
+        self.routers = [Router(n, folder) for n in range(1, routers + 1)]
+        self.targets: dict[str, proxy_module.Proxy] = {}
+        self.faults: dict[str, str] = {}
+        self.key = OLD_KEY
+        self.version = 1
+        self.stack = contextlib.AsyncExitStack()
+
+    async def publish(self, keys: tuple[str, ...]) -> None:
+        """Publish the next version of the configuration."""
+        base = {
+            "host": "example.test",
+            "service": "oven",
+            "timeout_ms": 4_000,
+            "target_latency_ms": 300,
+            "priority": 1,
+            "public": False,
+            "max_attempts": 2,
+        }
+        routes = [
+            {"name": "order", "kind": "non_idempotent"},
+            {"name": "lookup", "kind": "idempotent"},
+            {"name": "chat", "kind": "streaming", "sticky_sessions": True},
+            {
+                "name": "plan",
+                "kind": "streaming",
+                "resumable": True,
+                "sticky_sessions": True,
+            },
+        ]
+        value = {
+            "version": self.version,
+            "routes": [
+                {**base, **route, "path_prefix": f"/{route['name']}/"}
+                for route in routes
+            ],
+            "services": [{"name": "oven"}],
+            "limits": {"max_body_bytes": 4_096},
+            "tenants": [{"name": "bakery", "api_keys": list(keys)}],
+        }
+        self.version += 1
+        await self.store.put("keyed.op", "config", orjson.dumps(value))
+
+    async def add_target(self, name: str) -> None:
+        """Start a target and list it."""
+
+        async def answer(
+            request: scripted_target.Received, writer: asyncio.StreamWriter
+        ) -> bool | None:
+            return await self._answer(name, request, writer)
+
+        target = scripted_target.ScriptedTarget(answer)
+        await target.start()
+        self.stack.push_async_callback(target.stop)
+        front = proxy_module.Proxy(target.address)
+        await front.start()
+        self.stack.callback(front.stop)
+        self.targets[name] = front
+        await self.list_target(name, "ready")
+
+    async def list_target(self, name: str, state: str) -> None:
+        """Write a target's entry."""
+        entry = {
+            "service": "oven",
+            "address": self.targets[name].address,
+            "zone": "dc1",
+            "slots": 8,
+            "state": state,
+            "born": 1,
+        }
+        await self.store.put("keyed.servers", name, orjson.dumps(entry))
+
+    async def _answer(
+        self,
+        name: str,
+        request: scripted_target.Received,
+        writer: asyncio.StreamWriter,
+    ) -> bool | None:
+        if request.headers.get("x-expect-instance") != name:
+            writer.write(scripted_target.answer(request, "421 Misdirected"))
+            return None
+        old_key = request.headers.get("x-own-key") == OLD_KEY
+        self.witness.ran(request.request_id, name, old_key, _now_ms())
+        fault = self.faults.get(name, "")
+        if fault and self.random.random() < 0.4:
+            return await self._spoil(fault, request, writer)
+        if "/chat/" in request.line or "/plan/" in request.line:
+            await self._stream(request, writer, STREAM_EVENTS)
+            writer.write(scripted_target.chunk(b""))
+            return None
+        body = f"{request.request_id} done".encode()
+        writer.write(scripted_target.answer(request, body=body))
+        return None
+
+    async def _stream(
+        self,
+        request: scripted_target.Received,
+        writer: asyncio.StreamWriter,
+        end: int,
+    ) -> None:
+        first = int(request.headers.get("last-event-id", -1)) + 1
+        writer.write(scripted_target.stream_head(request))
+        for number in range(first, end):
+            writer.write(scripted_target.chunk(scripted_target.event(number)))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+
+    async def _spoil(
+        self,
+        fault: str,
+        request: scripted_target.Received,
+        writer: asyncio.StreamWriter,
+    ) -> bool | None:
+        if fault == "hang":
+            await asyncio.sleep(3)
+        if fault == "cut":
+            await self._stream(request, writer, STREAM_EVENTS // 2)
+            writer.write(b"5\r\nid: ")
+            await writer.drain()
+        if fault == "extra":
+            body = f"{request.request_id} done".encode()
+            writer.write(scripted_target.answer(request, body=body) * 2)
+            return None
+        if fault == "error":
+            writer.write(scripted_target.answer(request, "500 Broken"))
+            return None
+        return False
+
+
+async def play(
+    seed: int, seconds: float, routers: int
+) -> witness_module.Witness:
+    """Play one seed.
+
+    :param seed: decides faults and requests.
+    :param seconds: how long faults and requests go on.
+    :param routers: how many router processes.
+    """
+    with tempfile.TemporaryDirectory(prefix="soak-") as folder:
+        run = Run(seed, routers, pathlib.Path(folder))
+        async with run.stack:
+            await _start(run)
+            end_s = time.monotonic() + seconds
+            callers = [
+                asyncio.create_task(_call(run, number, end_s))
+                for number in range(CALLERS)
+            ]
+            await _break(run, end_s)
+            await asyncio.gather(*callers)
+            for router in run.routers:
+                router.send(signal.SIGCONT)
+                router.send(signal.SIGKILL)
+                await router.ended()
+    return run.witness
+
+
+async def _start(run: Run) -> None:
+    runner = web.AppRunner(run.store.app(), shutdown_timeout=0.1)
+    await runner.setup()
+    run.stack.push_async_callback(runner.cleanup)
+    site = web.TCPSite(runner, HOST, 0)
+    await site.start()
+    port = runner.addresses[0][1]
+    await run.publish((OLD_KEY, KEY))
+    for number in range(TARGETS):
+        await run.add_target(f"t{number}")
+    for router in run.routers:
+        router.store = proxy_module.Proxy(f"{HOST}:{port}")
+        await router.store.start()
+        run.stack.callback(router.store.stop)
+        await router.start()
+    await asyncio.sleep(2.5)
+
+
+async def _call(run: Run, number: int, end_s: float) -> None:
+    """Send requests one after the other, mostly on kept connections."""
+    count = 0
+    async with aiohttp.ClientSession() as session:
+        session._retry_connection = False
+        while time.monotonic() < end_s:
+            count += 1
+            request_id = f"c{number}-{count}"
+            kind = run.random.choice(["order", "lookup", "chat", "plan"])
+            router = run.random.choice(run.routers)
+            run.witness.sent(request_id, kind in ("order", "chat"))
+            try:
+                async with asyncio.timeout(6):
+                    await _ask(run, session, router, kind, request_id)
+            except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                run.witness.lost(type(error).__name__)
+                await asyncio.sleep(0.1)
+
+
+async def _ask(
+    run: Run,
+    session: aiohttp.ClientSession,
+    router: Router,
+    kind: str,
+    request_id: str,
+) -> None:
+    key = run.key
+    headers = {
+        "Host": "example.test",
+        "X-Request-Id": request_id,
+        "X-Deadline-Ms": "4000",
+        "Authorization": f"Bearer {key}",
+        "X-Own-Key": key,
+        "X-Prompt-Prefix": f"{request_id[:2]}:700,{request_id}:20",
+    }
+    async with session.post(
+        f"http://{router.front}/{kind}/x", headers=headers, data=b"x"
+    ) as response:
+        body = await response.read()
+        expected = f"{request_id} done".encode()
+        if kind in ("chat", "plan"):
+            expected = b"".join(
+                scripted_target.event(n) for n in range(STREAM_EVENTS)
+            )
+        run.witness.answered(
+            request_id,
+            response.status,
+            response.headers.get("X-Request-Id", ""),
+            body == expected,
+            key == OLD_KEY,
+        )
+
+
+async def _break(run: Run, end_s: float) -> None:
+    """Inject faults, overlapping and in series, until the end."""
+    faults = [_kill, _freeze, _stop, _cut_store, _cut_target, _spoil_target]
+    work = []
+    revoke_s = time.monotonic() + 2
+    leave_s = time.monotonic() + 4
+    while time.monotonic() < end_s:
+        fault = run.random.choice(faults)
+        work.append(asyncio.create_task(fault(run)))
+        if revoke_s is not None and time.monotonic() > revoke_s:
+            revoke_s = None
+            await run.publish((KEY,))
+            run.witness.revoked(_now_ms())
+            run.key = KEY
+        if leave_s is not None and time.monotonic() > leave_s:
+            leave_s = None
+            await run.list_target("t0", "draining")
+            run.witness.left("t0", _now_ms())
+        await asyncio.sleep(run.random.uniform(0.2, 2 * FAULT_GAP_S))
+    await asyncio.gather(*work)
+
+
+async def _kill(run: Run) -> None:
+    await _end(run, signal.SIGKILL)
+
+
+async def _stop(run: Run) -> None:
+    await _end(run, signal.SIGTERM)
+
+
+async def _end(run: Run, number: signal.Signals) -> None:
+    """End a router with a signal, and start it again.
+
+    A second signal may come while the first is still at work; only the one
+    that came first starts the router again.
+    """
+    router = run.random.choice(run.routers)
+    router.send(number)
+    router.send(signal.SIGCONT)
+    if router.ending:
+        return
+    router.ending = True
+    await router.ended()
+    await asyncio.sleep(run.random.uniform(0, 0.5))
+    await router.start()
+    router.ending = False
+
+
+async def _freeze(run: Run) -> None:
+    router = run.random.choice(run.routers)
+    router.send(signal.SIGSTOP)
+    await asyncio.sleep(run.random.uniform(0.5, 6))
+    router.send(signal.SIGCONT)
+
+
+async def _cut_store(run: Run) -> None:
+    router = run.random.choice(run.routers)
+    await _cut(run, router.store)
+
+
+async def _cut_target(run: Run) -> None:
+    await _cut(run, run.random.choice(list(run.targets.values())))
+
+
+async def _cut(run: Run, path: proxy_module.Proxy | None) -> None:
+    if path is None:
+        return
+    path.mode = run.random.choice(list(proxy_module.Mode))
+    if run.random.random() < 0.5:
+        path.reset()
+    await asyncio.sleep(run.random.uniform(0.5, 5))
+    path.mode = proxy_module.Mode.PASS
+
+
+async def _spoil_target(run: Run) -> None:
+    name = run.random.choice(list(run.targets))
+    run.faults[name] = run.random.choice(
+        ["hang", "cut", "close", "extra", "error"]
+    )
+    await asyncio.sleep(run.random.uniform(0.5, 4))
+    run.faults.pop(name, None)
--- /dev/null
+++ b/soak/witness.py
@@ -0,0 +1,105 @@
+"""What callers and targets saw, checked against the promises."""
+
+import collections
+import dataclasses
+
+# A key may work for so long after it was taken away.
+REVOKE_MS = 5_000
+# A target may get work for so long after its entry said that it leaves.
+LEAVE_MS = 2_500
+# Statuses that promise that a request has not run.
+NOT_RUN = (408, 421, 429, 503)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """A request that a target began to work on.
+
+    :param target: the target's name.
+    :param at_ms: when, on the soak's clock.
+    :param key_sent_ms: when the caller sent it.
+    """
+
+    target: str
+    at_ms: int
+
+
+class Witness:
+    """Collects what was seen, and what breaks a promise.
+
+    :ivar broken: one line for each broken promise.
+    :ivar answers: how many requests ended with each status.
+    """
+
+    def __init__(self) -> None:
+        self.broken: list[str] = []
+        self.answers: collections.Counter[str] = collections.Counter()
+        self._runs: dict[str, list[Run]] = collections.defaultdict(list)
+        self._refused: set[str] = set()
+        self._once: set[str] = set()
+        self._left_ms: dict[str, int] = {}
+        self._revoked_ms: int | None = None
+
+    def left(self, target: str, now_ms: int) -> None:
+        """Note that a target's entry says that it leaves."""
+        self._left_ms[target] = now_ms
+
+    def revoked(self, now_ms: int) -> None:
+        """Note that the old key was taken away."""
+        self._revoked_ms = now_ms
+
+    def sent(self, request_id: str, once: bool) -> None:
+        """Note that a caller sent a request."""
+        if once:
+            self._once.add(request_id)
+
+    def ran(
+        self, request_id: str, target: str, old_key: bool, now_ms: int
+    ) -> None:
+        """Note that a target began a request."""
+        runs = self._runs[request_id]
+        runs.append(Run(target, now_ms))
+        if request_id in self._once and len(runs) > 1:
+            self.broken.append(f"{request_id} ran {len(runs)} times")
+        if request_id in self._refused and request_id in self._once:
+            self.broken.append(f"{request_id} ran after 'not run'")
+        left_ms = self._left_ms.get(target)
+        if left_ms is not None and now_ms - left_ms > LEAVE_MS:
+            self.broken.append(f"{request_id} at {target}, which left")
+        if old_key and self._revoked_ms is not None:
+            late_ms = now_ms - self._revoked_ms
+            if late_ms > REVOKE_MS:
+                self.broken.append(f"{request_id} ran {late_ms} ms revoked")
+
+    def answered(
+        self,
+        request_id: str,
+        status: int,
+        answer_id: str,
+        whole: bool,
+        old_key: bool = False,
+    ) -> None:
+        """Note a caller's final answer.
+
+        :param request_id: the request.
+        :param status: HTTP status.
+        :param answer_id: the request that the answer names.
+        :param whole: whether its body is the target's whole body, for it.
+        :param old_key: whether it was sent with the key that is taken away.
+        """
+        self.answers[str(status)] += 1
+        if answer_id and answer_id != request_id:
+            self.broken.append(f"{request_id} got {answer_id}'s answer")
+        if status == 200 and not whole:
+            self.broken.append(f"{request_id} got a body that isn't whole")
+        if status in NOT_RUN:
+            self._refused.add(request_id)
+            if request_id in self._once and self._runs.get(request_id):
+                self.broken.append(f"{request_id} ran, but {status}")
+        revoked = old_key and self._revoked_ms is not None
+        if status == 404 or (status == 401 and not revoked):
+            self.broken.append(f"{request_id} denied with {status}")
+
+    def lost(self, reason: str) -> None:
+        """Note a request without an answer."""
+        self.answers[reason] += 1
--- a/src/bulrushdale/forwarding/feed.py
+++ b/src/bulrushdale/forwarding/feed.py
@@ -14,6 +14,9 @@
 # than a fleet's targets change within the life of the store's history.
 MOST_DROPPED = 2_000
 RETRY_DELAY_MS = 400
+# While the store is away for the data centre's reader too, the others leave it
+# alone for longer and longer, up to this.
+MOST_PAUSE_MS = 3_000
 # Through an outage of the store itself no copy in the fleet is confirmed; one
 # that is younger than this was confirmed by a peer, and the store was there.
 OUTAGE_AGE_MS = 2_500
@@ -269,6 +272,8 @@
             back()
         feed.take(reading.page, reading.as_of_ms)
 
+    pause_ms = RETRY_DELAY_MS
+    spared_until_ms = 0
     while True:
         reading = await sources.reader(feed)
         if reading is not None:
@@ -276,15 +281,23 @@
                 take(reading)
                 continue
             feed.take(reading.page, reading.as_of_ms)
+            if clock.now_ms() < spared_until_ms:
+                await clock.sleep_ms(RETRY_DELAY_MS)
+                continue
         try:
             take(await _read_store(feed, sources, clock))
         except records.SourceError as error:
             feed.note_away(error)
+            if reading is not None:
+                # The reader still tries; the others spare the store.
+                spared_until_ms = clock.now_ms() + pause_ms
+                pause_ms = min(2 * pause_ms, MOST_PAUSE_MS)
             reading = await sources.peers(feed)
             if reading is not None:
                 feed.take(reading.page, reading.as_of_ms)
             await clock.sleep_ms(RETRY_DELAY_MS)
             continue
+        pause_ms = RETRY_DELAY_MS
         await clock.sleep_ms(interval_ms)
 
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -118,7 +118,7 @@
         self.sources = feed_module.Sources(store, reader, peers)
 
 
-async def run(make_feed, **state):
+async def run(make_feed, for_s=0.2, **state):
     clock = clock_module.Clock()
     feed = make_feed(clock)
     reads = Reads(feed, clock)
@@ -130,7 +130,7 @@
             feed, reads.sources, 10, lambda: returns.append(1), clock
         )
     )
-    await asyncio.sleep(0.2)
+    await asyncio.sleep(for_s)
     work.cancel()
     return feed, reads
 
@@ -153,3 +153,14 @@
     assert "peers" in reads.calls
     assert feed.away
     assert feed.age_ms() < 500
+
+
+async def test_store_that_is_away_is_spared_by_all_but_the_reader(make_feed):
+    """Ninety routers that try twice a second would fill its call limit."""
+    feed, reads = await run(
+        make_feed, 3.0, reader_age_ms=5_000, store_up=False
+    )
+    spared = reads.calls.count("store")
+    feed, reads = await run(make_feed, 3.0, reader_age_ms=None, store_up=False)
+    assert reads.calls.count("store") >= 6
+    assert spared <= 4
