--- a/src/bulrushdale/forwarding/callers.py
+++ b/src/bulrushdale/forwarding/callers.py
@@ -4,7 +4,9 @@
 import logging
 
 from aiohttp import web
+import orjson
 
+from bulrushdale.forwarding import parts as parts_module
 from bulrushdale.forwarding import proxy
 from bulrushdale import results
 from bulrushdale.routing import access
@@ -75,7 +77,7 @@
 
     def __init__(
         self,
-        parts: proxy.Parts,
+        parts: parts_module.Parts,
         activity: Activity,
         call_error: type[Exception],
     ) -> None:
@@ -137,7 +139,7 @@
                     "after_ms": self._parts.clock.now_ms() - received_ms,
                 },
             )
-            return proxy.refusal_response(refusal, request_id)
+            return _refusal_response(refusal, request_id)
 
     async def _wait_for_start(self) -> None:
         """Hold a request that came before the first list of targets."""
@@ -157,3 +159,29 @@
         if configuration is None:
             raise access.not_ready()
         return configuration.limits.body_bytes
+
+
+def _refusal_response(
+    refusal: results.Refusal, request_id: str
+) -> web.Response:
+    """Return a refusal as an HTTP response.
+
+    :param refusal: what the caller is told.
+    :param request_id: the request's id, repeated for the caller.
+    """
+    headers = {"Content-Type": "application/json"}
+    if request_id:
+        headers["X-Request-Id"] = request_id
+    if refusal.retry_after_ms:
+        headers["Retry-After"] = f"{refusal.retry_after_ms / 1000:.2f}"
+    body = {
+        "error": {
+            "code": int(refusal.code),
+            "message": refusal.detail,
+        }
+    }
+    return web.Response(
+        status=refusal.meaning.status,
+        body=orjson.dumps(body),
+        headers=headers,
+    )
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -1,29 +1,22 @@
 """Passes one request on to targets until it has a final answer."""
 
-import dataclasses
 import logging
 import typing
 
 import aiohttp
 from aiohttp import web
 import multidict
-import orjson
 
-from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import attempt
 from bulrushdale.forwarding import events
 from bulrushdale.forwarding import metrics as metrics_module
-from bulrushdale.forwarding import probes
+from bulrushdale.forwarding import parts as parts_module
 from bulrushdale import results
 from bulrushdale.routing import access
-from bulrushdale.routing import budget as budget_module
 from bulrushdale.routing import calls
 from bulrushdale.routing import patience
-from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import refusals
-from bulrushdale.routing import revisions as revisions_module
 from bulrushdale.routing import routes
-from bulrushdale.routing import selection as selection_module
 from bulrushdale.routing import targets as targets_module
 
 LOG = logging.getLogger(__name__)
@@ -37,70 +30,6 @@
 LAST_URGENCY = 9
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Wire:
-    """Translates between wire headers and the product's types.
-
-    :param decode_call: from a caller's request and its body.
-    :param encode_call: headers for a target.
-    :param decode_answer: from the status and headers of a target's answer.
-    """
-
-    decode_call: typing.Callable[[web.BaseRequest, bytes], calls.Call]
-    encode_call: typing.Callable[..., list[tuple[str, str]]]
-    decode_answer: attempt.DecodeAnswer
-
-
-class Parts:
-    """What a proxy works with."""
-
-    __slots__ = (
-        "clock",
-        "wire",
-        "session",
-        "once_session",
-        "revisions",
-        "targets",
-        "peers",
-        "selection",
-        "budget",
-        "key_age_limit_ms",
-        "draining",
-        "metrics",
-        "prober",
-    )
-
-    def __init__(
-        self,
-        clock: clock_module.Clock,
-        wire: Wire,
-        session: aiohttp.ClientSession,
-        once_session: aiohttp.ClientSession,
-        revisions: revisions_module.Revisions,
-        targets: targets_module.Targets,
-        peers: peers_module.Peers,
-        selection: selection_module.Selection,
-        budget: budget_module.RetryBudget,
-        key_age_limit_ms: int | None,
-        draining: typing.Callable[[], bool],
-        metrics: metrics_module.Metrics,
-        prober: probes.Prober,
-    ) -> None:
-        self.clock = clock
-        self.wire = wire
-        self.session = session
-        self.once_session = once_session
-        self.revisions = revisions
-        self.targets = targets
-        self.peers = peers
-        self.selection = selection
-        self.budget = budget
-        self.key_age_limit_ms = key_age_limit_ms
-        self.draining = draining
-        self.metrics = metrics
-        self.prober = prober
-
-
 class Exchange:
     """One request on its way to a final answer.
 
@@ -122,14 +51,13 @@
         "_tried",
         "_offers",
         "_runs",
-        "_target",
         "_response",
         "_splitter",
     )
 
     def __init__(
         self,
-        parts: Parts,
+        parts: parts_module.Parts,
         request: web.BaseRequest,
         call: calls.Call,
         admitted: access.Admitted,
@@ -150,7 +78,6 @@
         self._tried: set[str] = set()
         self._offers = 0
         self._runs = 0
-        self._target: targets_module.Target | None = None
         self._response: web.StreamResponse | None = None
         self._splitter = events.Splitter(call.resume_after)
 
@@ -296,7 +223,6 @@
             self._note_failed(target, outcome.reason)
             return None
         self._offers += 1
-        target.reported = outcome.head.load or target.reported
         if self._route.kind is routes.Kind.STREAM and outcome.head.success:
             return await self._relay_stream(target, outcome)
         return await self._relay_whole(target, outcome)
@@ -444,29 +370,3 @@
             self._record(self._parts.metrics.first_event_ms)
             await self._response.prepare(self._request)
         return self._response
-
-
-def refusal_response(
-    refusal: results.Refusal, request_id: str
-) -> web.Response:
-    """Return a refusal as an HTTP response.
-
-    :param refusal: what the caller is told.
-    :param request_id: the request's id, repeated for the caller.
-    """
-    headers = {"Content-Type": "application/json"}
-    if request_id:
-        headers["X-Request-Id"] = request_id
-    if refusal.retry_after_ms:
-        headers["Retry-After"] = f"{refusal.retry_after_ms / 1000:.2f}"
-    body = {
-        "error": {
-            "code": int(refusal.code),
-            "message": refusal.detail,
-        }
-    }
-    return web.Response(
-        status=refusal.meaning.status,
-        body=orjson.dumps(body),
-        headers=headers,
-    )
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -6,7 +6,6 @@
 import dataclasses
 import logging
 import signal
-import socket
 import sys
 
 from aiohttp import web
@@ -16,11 +15,13 @@
 from bulrushdale.forwarding import callers
 from bulrushdale.forwarding import connections
 from bulrushdale.forwarding import feed as feed_module
+from bulrushdale.forwarding import gauges
 from bulrushdale.forwarding import links as links_module
 from bulrushdale.forwarding import logs
 from bulrushdale.forwarding import metrics as metrics_module
+from bulrushdale.forwarding import parts as parts_module
+from bulrushdale.forwarding import ports
 from bulrushdale.forwarding import probes
-from bulrushdale.forwarding import proxy
 from bulrushdale.forwarding import settings as settings_module
 from bulrushdale.platform import configuration
 from bulrushdale.platform import headers
@@ -48,9 +49,6 @@
 REPORT_INTERVAL_MS = 250
 EXPIRE_INTERVAL_MS = 250
 DRAIN_POLL_MS = 50
-# Callers use connections that were idle for up to 12 s again; a connection
-# costs little, and closing one early costs its caller a try.
-CALLER_IDLE_S = 75
 
 
 class Gateway(aiomisc.Service):
@@ -66,19 +64,23 @@
         await self._wire()
         await self._links.start()
         self._work = [asyncio.create_task(job) for job in self._jobs()]
-        self._callers_server = _server(
+        self._callers_server = ports.make_server(
             callers.Callers(
                 self._parts, self._activity, headers.CallError
             ).handle
         )
-        self._callers = await self._listen(
-            self._callers_server, self.settings.caller_port
+        self._callers = await ports.listen(
+            self._callers_server, self.settings.host, self.settings.caller_port
         )
-        self._ready = await self._listen(
-            _server(self._tell_ready), self.settings.ready_port
+        self._ready = await ports.listen(
+            ports.make_server(self._tell_ready),
+            self.settings.host,
+            self.settings.ready_port,
         )
-        self._scraped = await self._listen(
-            _server(self._tell_metrics), self.settings.metrics_port
+        self._scraped = await ports.listen(
+            ports.make_server(self._tell_metrics),
+            self.settings.host,
+            self.settings.metrics_port,
         )
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
@@ -171,9 +173,9 @@
         self._prober = probes.Prober(self._targets, clock)
         self._sequence = 0
         self._started_ms = clock.wall_ms()
-        self._parts = proxy.Parts(
+        self._parts = parts_module.Parts(
             clock=clock,
-            wire=proxy.Wire(
+            wire=parts_module.Wire(
                 headers.decode_call,
                 headers.encode_call,
                 headers.decode_answer,
@@ -201,52 +203,17 @@
             metrics=self._metrics,
             prober=self._prober,
         )
-        self._add_gauges()
+        gauges.add(
+            self._metrics,
+            self._feeds,
+            self._targets,
+            self._activity,
+            self._peers,
+        )
 
     def _count_read(self, feed: str, outcome: str) -> None:
         self._metrics.store_reads.add(1, {"feed": feed, "outcome": outcome})
 
-    def _add_gauges(self) -> None:
-        gauge = self._metrics.gauge
-        gauge(
-            "news_age_ms",
-            "Age of the copy of each topic; -1 for none.",
-            lambda: {
-                name: -1 if feed.age_ms() is None else feed.age_ms() or 0
-                for name, feed in self._feeds.items()
-            },
-            "feed",
-        )
-        gauge(
-            "targets",
-            "Targets by state.",
-            self._count_targets,
-            "state",
-        )
-        gauge(
-            "requests_in_flight",
-            "Requests being served.",
-            lambda: {"all": self._activity.requests},
-            "of",
-        )
-        gauge(
-            "routers",
-            "Live routers, this one included.",
-            lambda: {"live": self._peers.count()},
-            "state",
-        )
-
-    def _count_targets(self) -> dict[str, float]:
-        counts: dict[str, float] = {
-            "good": 0,
-            "leaving": 0,
-            "unreachable": 0,
-            "resting": 0,
-        }
-        for target in self._targets.all():
-            counts[target.state] += 1
-        return counts
-
     def _note_listed(self, _: int) -> None:
         self._activity.listed.set()
 
@@ -391,16 +358,6 @@
     async def _expire(self) -> None:
         self._targets.expire(self._peers.store_up_ms())
 
-    async def _listen(self, server: web.Server, port: int) -> web.ServerRunner:
-        runner = web.ServerRunner(server, shutdown_timeout=0.1)
-        await runner.setup()
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        connections.tune(sock)
-        sock.bind((self.settings.host, port))
-        await web.SockSite(runner, sock, backlog=1024).start()
-        return runner
-
     def is_ready(self) -> bool:
         """Return whether callers should come to this router."""
         age_ms = self._revisions.age_ms()
@@ -462,21 +419,6 @@
     return value
 
 
-def _server(
-    handler: abc.Callable[
-        [web.BaseRequest], abc.Awaitable[web.StreamResponse]
-    ],
-) -> web.Server:
-    return web.Server(
-        handler,
-        handler_cancellation=True,
-        access_log=None,
-        keepalive_timeout=CALLER_IDLE_S,
-        max_line_size=connections.FIELD_BYTES,
-        max_field_size=connections.FIELD_BYTES,
-    )
-
-
 def _load() -> settings_module.Settings:
     return platform_settings.load(platform_settings.path_from_environment())
 
--- a/src/bulrushdale/platform/headers.py
+++ b/src/bulrushdale/platform/headers.py
@@ -14,7 +14,6 @@
 _DEADLINE = "X-Deadline-Ms"
 _PROMPT = "X-Prompt-Prefix"
 _TOKENS = "X-Token-Counts"
-_MODEL = "X-Model"
 _RESUME = "Last-Event-Id"
 _EXPECT_TARGET = "X-Expect-Instance"
 _TEAM = "X-Tenant-Id"
@@ -24,8 +23,6 @@
 # The target's signature; without it nothing came from a target.
 _SEAL = "X-Server-Seal"
 _NOT_RUN = "X-Not-Executed"
-# Three numbers: running, waiting, slots.
-_LOAD = "X-Server-Load"
 
 _STATUS_OTHER_TARGET = 421
 
@@ -179,14 +176,6 @@
     return headers
 
 
-def _load(value: str | None) -> calls.Load | None:
-    numbers = (value or "").split(",")
-    if len(numbers) != 3 or not all(n.strip().isdigit() for n in numbers):
-        return None
-    running, waiting, slots = (int(number) for number in numbers)
-    return calls.Load(running, waiting, slots)
-
-
 def decode_answer(
     status: int, headers: multidict.CIMultiDictProxy[str]
 ) -> calls.AnswerHead:
@@ -200,5 +189,4 @@
         not_run=_NOT_RUN in headers,
         other_target=status == _STATUS_OTHER_TARGET,
         encoded=encoding != "identity",
-        load=_load(headers.get(_LOAD)),
     )
--- a/src/bulrushdale/routing/calls.py
+++ b/src/bulrushdale/routing/calls.py
@@ -63,20 +63,6 @@
         return sum(part.tokens for part in self.prompt[:-1])
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Load:
-    """How busy a target says it is.
-
-    :param running: requests that it works on.
-    :param waiting: requests in its queue.
-    :param slots: requests that it can run at once.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerHead:
     """Status and headers of a target's answer.
@@ -89,7 +75,6 @@
     :param other_target: whether another target has the address now.
     :param encoded: whether the body has a content encoding that nobody
         asked for, so that it isn't the target's.
-    :param load: the target's load, if it says so.
     """
 
     status: int
@@ -99,7 +84,6 @@
     not_run: bool
     other_target: bool
     encoded: bool
-    load: Load | None
 
     @property
     def success(self) -> bool:
--- a/src/bulrushdale/routing/targets.py
+++ b/src/bulrushdale/routing/targets.py
@@ -5,7 +5,6 @@
 import logging
 
 from bulrushdale import clock as clock_module
-from bulrushdale.routing import calls
 from bulrushdale.routing import health as health_module
 
 LOG = logging.getLogger(__name__)
@@ -55,7 +54,6 @@
     :ivar leaving: whether it gets no new work; never taken back.
     :ivar lapsed: whether its entry is missing, perhaps by the store's fault.
     :ivar in_flight: requests that this router has there.
-    :ivar reported: the load that it reported last.
     :ivar health: results of its requests.
     :ivar slow_until_ms: when it is up to speed after its start.
     :ivar listed_ms: when this router first saw it in the list.
@@ -66,7 +64,6 @@
         "leaving",
         "lapsed",
         "in_flight",
-        "reported",
         "health",
         "slow_until_ms",
         "listed_ms",
@@ -77,7 +74,6 @@
         self.leaving = listing.leaving
         self.lapsed = False
         self.in_flight = 0
-        self.reported: calls.Load | None = None
         self.health = health_module.Health(clock)
         self.slow_until_ms = clock.now_ms() + listing.slow_start_ms
         self.listed_ms = clock.now_ms()
