--- a/src/bulrushdale/forwarding/callers.py
+++ b/src/bulrushdale/forwarding/callers.py
@@ -99,11 +99,13 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         received_ms = self._parts.clock.now_ms()
-        request_id = ""
+        request_id = self._parts.wire.decode_request_id(request)
         try:
             if self._activity.closed:
                 raise refusals.refuse(
-                    results.Code.STOPPING, "this router stops"
+                    results.Code.STOPPING,
+                    "this router stops",
+                    refusals.ELSEWHERE_AFTER_MS,
                 )
             await self._wait_for_start()
             body = await _read_body(request, self._body_limit_bytes())
@@ -113,7 +115,6 @@
                 raise refusals.refuse(
                     results.Code.BAD_REQUEST, str(error)
                 ) from error
-            request_id = call.request_id
             admitted = access.admit(
                 call, self._parts.revisions, self._parts.key_age_limit_ms
             )
--- a/src/bulrushdale/forwarding/parts.py
+++ b/src/bulrushdale/forwarding/parts.py
@@ -22,11 +22,13 @@
 class Wire:
     """Translates between wire headers and the product's types.
 
+    :param decode_request_id: known before the body is read.
     :param decode_call: from a caller's request and its body.
     :param encode_call: headers for a target.
     :param decode_answer: from the status and headers of a target's answer.
     """
 
+    decode_request_id: typing.Callable[[web.BaseRequest], str]
     decode_call: typing.Callable[[web.BaseRequest, bytes], calls.Call]
     encode_call: typing.Callable[..., list[tuple[str, str]]]
     decode_answer: attempt.DecodeAnswer
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -176,6 +176,7 @@
         self._parts = parts_module.Parts(
             clock=clock,
             wire=parts_module.Wire(
+                headers.decode_request_id,
                 headers.decode_call,
                 headers.encode_call,
                 headers.decode_answer,
--- a/src/bulrushdale/platform/headers.py
+++ b/src/bulrushdale/platform/headers.py
@@ -117,6 +117,11 @@
     return value[len(_KEY_SCHEME) :].strip()
 
 
+def decode_request_id(request: web.BaseRequest) -> str:
+    """Return the id that a caller gave its request; empty if it gave none."""
+    return request.headers.get(REQUEST_ID, "")
+
+
 def decode_call(request: web.BaseRequest, body: bytes) -> calls.Call:
     """Return a caller's request in the product's words.
 
@@ -127,7 +132,7 @@
     headers = request.headers
     prompt_tokens, _, output_tokens = headers.get(_TOKENS, "").partition(",")
     return calls.Call(
-        request_id=headers.get(REQUEST_ID, ""),
+        request_id=decode_request_id(request),
         method=request.method,
         host=headers.get("Host", ""),
         path=request.raw_path.partition("?")[0],
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -483,6 +483,17 @@
         assert response.status == 200
 
 
+async def test_early_refusal_names_its_request(deployment, caller):
+    """Also one that comes before the body is read."""
+    deployment.routers[0]._activity.closed = True
+    async with caller.post(
+        deployment.url("/order/x"), headers=headers("early")
+    ) as response:
+        assert response.status == 503
+        assert response.headers["X-Request-Id"] == "early"
+        assert (await response.json())["error"]["code"] == 3011
+
+
 async def test_keys_age_while_nobody_reaches_the_store(deployment, caller):
     deployment.store.refuse = 503
     await asyncio.sleep(4.6)
