--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,15 +20,15 @@
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     failed = 0
     for number in range(seed, seed + seeds):
-        witness = asyncio.run(scenario.play(number, seconds, routers))
+        checker = asyncio.run(scenario.play(number, seconds, routers))
         counts = ", ".join(
             f"{name}: {count}"
-            for name, count in sorted(witness.answers.items())
+            for name, count in sorted(checker.answers.items())
         )
         click.echo(f"seed {number}: {counts}")
-        for line in witness.broken:
+        for line in checker.broken:
             click.echo(f"  BROKEN {line}")
-        failed += bool(witness.broken) or not witness.answers["200"]
+        failed += bool(checker.broken) or not checker.answers["200"]
     sys.exit(1 if failed else 0)
 
 
--- a/soak/witness.py
+++ b/soak/checker.py
@@ -24,7 +24,7 @@
     at_ms: int
 
 
-class Witness:
+class Checker:
     """Collects what was seen, and what breaks a promise.
 
     :ivar broken: one line for each broken promise.
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -16,8 +16,8 @@
 
 from examples.standins import keyed_store
 from examples.standins import scripted_target
+from soak import checker as checker_module
 from soak import proxy as proxy_module
-from soak import witness as witness_module
 
 HOST = "127.0.0.1"
 CALLERS = 12
@@ -117,7 +117,7 @@
 
     def __init__(self, seed: int, routers: int, folder: pathlib.Path) -> None:
         self.random = random.Random(seed)
-        self.witness = witness_module.Witness()
+        self.checker = checker_module.Checker()
         self.store = keyed_store.KeyedStore()
         self.routers = [Router(n, folder) for n in range(1, routers + 1)]
         self.targets: dict[str, proxy_module.Proxy] = {}
@@ -200,7 +200,7 @@
             writer.write(scripted_target.answer(request, "421 Misdirected"))
             return None
         old_key = request.headers.get("x-own-key") == OLD_KEY
-        self.witness.ran(request.request_id, name, old_key, _now_ms())
+        self.checker.ran(request.request_id, name, old_key, _now_ms())
         fault = self.faults.get(name, "")
         if fault and self.random.random() < 0.4:
             return await self._spoil(fault, request, writer)
@@ -249,7 +249,7 @@
 
 async def play(
     seed: int, seconds: float, routers: int
-) -> witness_module.Witness:
+) -> checker_module.Checker:
     """Play one seed.
 
     :param seed: decides faults and requests.
@@ -271,7 +271,7 @@
                 router.send(signal.SIGCONT)
                 router.send(signal.SIGKILL)
                 await router.ended()
-    return run.witness
+    return run.checker
 
 
 async def _start(run: Run) -> None:
@@ -302,12 +302,12 @@
             request_id = f"c{number}-{count}"
             kind = run.random.choice(["order", "lookup", "chat", "plan"])
             router = run.random.choice(run.routers)
-            run.witness.sent(request_id, kind in ("order", "chat"))
+            run.checker.sent(request_id, kind in ("order", "chat"))
             try:
                 async with asyncio.timeout(6):
                     await _ask(run, session, router, kind, request_id)
             except (aiohttp.ClientError, TimeoutError, OSError) as error:
-                run.witness.lost(type(error).__name__)
+                run.checker.lost(type(error).__name__)
                 await asyncio.sleep(0.1)
 
 
@@ -336,7 +336,7 @@
             expected = b"".join(
                 scripted_target.event(n) for n in range(STREAM_EVENTS)
             )
-        run.witness.answered(
+        run.checker.answered(
             request_id,
             response.status,
             response.headers.get("X-Request-Id", ""),
@@ -357,12 +357,12 @@
         if revoke_s is not None and time.monotonic() > revoke_s:
             revoke_s = None
             await run.publish((KEY,))
-            run.witness.revoked(_now_ms())
+            run.checker.revoked(_now_ms())
             run.key = KEY
         if leave_s is not None and time.monotonic() > leave_s:
             leave_s = None
             await run.list_target("t0", "draining")
-            run.witness.left("t0", _now_ms())
+            run.checker.left("t0", _now_ms())
         await asyncio.sleep(run.random.uniform(0.2, 2 * FAULT_GAP_S))
     await asyncio.gather(*work)
 
--- a/src/bulrushdale/forwarding/attempt.py
+++ b/src/bulrushdale/forwarding/attempt.py
@@ -50,7 +50,7 @@
 
 
 # Characters of an error's text in logs and refusals.
-MOST_ERROR_TEXT = 120
+MAX_ERROR_TEXT = 120
 # Raises TimeoutError when the wait is over.
 Wait = contextlib.AbstractAsyncContextManager[None]
 DecodeAnswer = typing.Callable[[int, typing.Any], calls.AnswerHead]
@@ -109,7 +109,7 @@
         text = error.message.partition("\n")[0]
     else:
         text = str(error)
-    return f"{type(error).__name__}: {text[:MOST_ERROR_TEXT]}".rstrip(": ")
+    return f"{type(error).__name__}: {text[:MAX_ERROR_TEXT]}".rstrip(": ")
 
 
 def _fault(
--- a/src/bulrushdale/forwarding/callers.py
+++ b/src/bulrushdale/forwarding/callers.py
@@ -136,7 +136,7 @@
                     "status": refusal.meaning.status,
                     "detail": refusal.detail,
                     "return_after_ms": refusal.retry_after_ms,
-                    "news_age_ms": self._parts.revisions.age_ms(),
+                    "config_age_ms": self._parts.revisions.age_ms(),
                     "after_ms": self._parts.clock.now_ms() - received_ms,
                 },
             )
--- a/src/bulrushdale/forwarding/feed.py
+++ b/src/bulrushdale/forwarding/feed.py
@@ -12,11 +12,11 @@
 
 # Dropped keys are remembered for peers that read through this router; more
 # than a fleet's targets change within the life of the store's history.
-MOST_DROPPED = 2_000
+MAX_DROPPED = 2_000
 RETRY_DELAY_MS = 400
 # While the store is away for the data centre's reader too, the others leave it
 # alone for longer and longer, up to this.
-MOST_PAUSE_MS = 3_000
+MAX_PAUSE_MS = 3_000
 # Through an outage of the store itself no copy in the fleet is confirmed; one
 # that is younger than this was confirmed by a peer, and the store was there.
 OUTAGE_AGE_MS = 2_500
@@ -49,7 +49,7 @@
     :param confirm: called with the time, in ms of the boot clock, at which
         the copy was last known to be up to date.
     :param meaning: what a value says; a record that says the same as the
-        one before is no news to peers.
+        one before isn't passed on to peers.
     :param count_read: counts a read by this feed's name and outcome.
     :param clock: the clock.
 
@@ -139,7 +139,7 @@
             record.key, record.value
         )
 
-    async def wait_for_news(self, offset: int, wait_ms: float) -> None:
+    async def wait_for_records(self, offset: int, wait_ms: float) -> None:
         """Return once there is a record from an offset on, or time is up.
 
         :param offset: where a peer would read on.
@@ -168,7 +168,7 @@
 
     def _forget_dropped(self) -> None:
         dropped = [k for k, r in self._records.items() if r.value is None]
-        for key in dropped[: max(0, len(dropped) - MOST_DROPPED)]:
+        for key in dropped[: max(0, len(dropped) - MAX_DROPPED)]:
             del self._records[key]
 
     def since(self, offset: int | None) -> records.Page | None:
@@ -291,7 +291,7 @@
             if reading is not None:
                 # The reader still tries; the others spare the store.
                 spared_until_ms = clock.now_ms() + pause_ms
-                pause_ms = min(2 * pause_ms, MOST_PAUSE_MS)
+                pause_ms = min(2 * pause_ms, MAX_PAUSE_MS)
             reading = await sources.peers(feed)
             if reading is not None:
                 feed.take(reading.page, reading.as_of_ms)
--- a/src/bulrushdale/forwarding/gauges.py
+++ b/src/bulrushdale/forwarding/gauges.py
@@ -8,7 +8,7 @@
 from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import targets as targets_module
 
-TARGET_STATES = ("good", "leaving", "unreachable", "resting")
+TARGET_STATES = ("good", "leaving", "unreachable", "ejected")
 
 
 def add(
@@ -32,7 +32,7 @@
 
     gauge = metrics.gauge
     gauge(
-        "news_age_ms",
+        "copy_age_ms",
         "Age of the copy of each topic; -1 for none.",
         ages,
         "feed",
--- a/src/bulrushdale/forwarding/links.py
+++ b/src/bulrushdale/forwarding/links.py
@@ -21,17 +21,17 @@
 from bulrushdale.forwarding import feed as feed_module
 from bulrushdale.forwarding import records
 from bulrushdale.routing import health
+from bulrushdale.routing import overrides as overrides_module
 from bulrushdale.routing import peers as peers_module
-from bulrushdale.routing import residence as residence_module
 
 LOG = logging.getLogger(__name__)
 
 PEER_TIMEOUT_MS = 500
 # Peers asked for records before the store is asked again.
 PEERS_ASKED = 3
-# A read from the collector returns with news, or after this.
+# A read from the collector returns with new records, or after this.
 READER_WAIT_MS = 700
-MOST_WAIT_MS = 5_000
+MAX_WAIT_MS = 5_000
 
 
 def encode_report(report: peers_module.Report) -> bytes:
@@ -107,7 +107,7 @@
 
     :param address: this router's IP and port for links.
     :param peers: what other routers report.
-    :param residence: prefixes that live elsewhere than hashing puts them.
+    :param overrides: prefixes that live elsewhere than hashing puts them.
     :param feeds: by name, what peers may read here.
     :param session: the HTTP session to other routers.
     :param clock: the clock.
@@ -128,14 +128,14 @@
         self,
         address: str,
         peers: peers_module.Peers,
-        residence: residence_module.Residence,
+        overrides: overrides_module.Overrides,
         feeds: abc.Mapping[str, feed_module.Feed],
         session: aiohttp.ClientSession,
         clock: clock_module.Clock,
     ) -> None:
         self._address = address
         self._peers = peers
-        self._residence = residence
+        self._residence = overrides
         self._feeds = feeds
         self._session = session
         self._clock = clock
@@ -196,7 +196,7 @@
         wait_ms = _count(request.query.get("wait_ms"))
         asked_ms = self._clock.boot_ms()
         if offset is not None and wait_ms:
-            await feed.wait_for_news(offset, min(wait_ms, MOST_WAIT_MS))
+            await feed.wait_for_records(offset, min(wait_ms, MAX_WAIT_MS))
         page = feed.since(offset)
         age_ms = feed.age_ms()
         if page is None or age_ms is None:
@@ -207,7 +207,7 @@
     async def read_collector(
         self, feed: feed_module.Feed
     ) -> feed_module.Reading | None:
-        """Read a feed's news from this data centre's collector.
+        """Read a feed's new records from this data centre's collector.
 
         :param feed: the feed.
         :return: none if this router is the collector, or it gives nothing.
@@ -223,7 +223,7 @@
     async def read_peers(
         self, feed: feed_module.Feed
     ) -> feed_module.Reading | None:
-        """Read a feed's news from some other routers.
+        """Read a feed's new records from some other routers.
 
         :param feed: the feed.
         :return: the newest that was found; none if nobody gave any.
--- a/src/bulrushdale/forwarding/probes.py
+++ b/src/bulrushdale/forwarding/probes.py
@@ -47,13 +47,13 @@
     async def watch(
         self,
         target: targets_module.Target,
-        patience_ms: float,
+        timeout_ms: float,
         may_leave: bool,
     ) -> abc.AsyncIterator[None]:
         """Limit a wait for a target, and check the target if it is silent.
 
         :param target: the target that is waited for.
-        :param patience_ms: the longest wait, in ms.
+        :param timeout_ms: the longest wait, in ms.
         :param may_leave: whether the wait ends early if the target turns out
             to be unreachable.
         :raises TimeoutError: if the wait is over.
@@ -62,7 +62,7 @@
         silence = loop.call_later(SILENCE_MS / 1000, self.suspect, target)
         waits = self._waits.setdefault(target.target_id, set())
         try:
-            async with asyncio.timeout(patience_ms / 1000) as limit:
+            async with asyncio.timeout(timeout_ms / 1000) as limit:
                 if may_leave:
                     waits.add(limit)
                 yield
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -14,15 +14,15 @@
 from bulrushdale import results
 from bulrushdale.routing import access
 from bulrushdale.routing import calls
-from bulrushdale.routing import patience
 from bulrushdale.routing import refusals
 from bulrushdale.routing import routes
 from bulrushdale.routing import targets as targets_module
+from bulrushdale.routing import timeouts
 
 LOG = logging.getLogger(__name__)
 
 # Targets that a request is offered to, those included that did not run it.
-MOST_OFFERS = 4
+MAX_OFFERS = 4
 # Where a caller names no deadline the route's timeout is the only one.
 NO_DEADLINE_MS = 3_600_000
 # Urgency at targets for priority 0; each rank after it is one less urgent.
@@ -138,9 +138,9 @@
 
     def _next_target(self) -> targets_module.Target:
         """Return the next target to try, or end the request."""
-        if self._left_ms() < patience.LEAST_LEFT_MS:
+        if self._left_ms() < timeouts.MIN_LEFT_MS:
             raise self._end("the deadline has passed")
-        if self._offers >= MOST_OFFERS:
+        if self._offers >= MAX_OFFERS:
             raise self._end("no target took it")
         target = self._parts.selection.choose(
             self._call, self._route, self._service, self._tried
@@ -175,7 +175,7 @@
                 else results.Code.TARGET_FAILED,
                 detail,
             )
-        if self._left_ms() < patience.LEAST_LEFT_MS:
+        if self._left_ms() < timeouts.MIN_LEFT_MS:
             return refusals.refuse(results.Code.DEADLINE_PASSED, detail)
         return refusals.refuse(results.Code.NO_TARGET, detail)
 
@@ -211,7 +211,7 @@
             self._parts.wire.decode_answer,
             self._wait(
                 target,
-                patience.for_answer(self._route, left_ms, self._another()),
+                timeouts.for_answer(self._route, left_ms, self._another()),
             ),
         )
         if isinstance(outcome, attempt.NotRun):
@@ -228,10 +228,10 @@
         return await self._relay_whole(target, outcome)
 
     def _wait(
-        self, target: targets_module.Target, patience_ms: float
+        self, target: targets_module.Target, timeout_ms: float
     ) -> attempt.Wait:
         """Limit a wait for a target; shorter if it is cut off meanwhile."""
-        return self._parts.prober.watch(target, patience_ms, self._another())
+        return self._parts.prober.watch(target, timeout_ms, self._another())
 
     def _session(self) -> aiohttp.ClientSession:
         if self._route.repeatable:
@@ -287,10 +287,8 @@
     async def _relay_whole(
         self, target: targets_module.Target, opened: attempt.Opened
     ) -> web.StreamResponse | None:
-        patience_ms = self._left_ms() + patience.LATE_MS
-        body = await attempt.read_whole(
-            opened, self._wait(target, patience_ms)
-        )
+        timeout_ms = self._left_ms() + timeouts.LATE_MS
+        body = await attempt.read_whole(opened, self._wait(target, timeout_ms))
         if isinstance(body, attempt.Unknown):
             self._note_failed(target, body.reason)
             return None
@@ -336,7 +334,7 @@
         """
         content = opened.response.content
         while True:
-            wait_ms = patience.for_event(
+            wait_ms = timeouts.for_event(
                 self._route, self._left_ms(), self._another()
             )
             try:
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -29,8 +29,8 @@
 from bulrushdale.platform import settings as platform_settings
 from bulrushdale.platform import store as store_module
 from bulrushdale.routing import budget as budget_module
+from bulrushdale.routing import overrides as overrides_module
 from bulrushdale.routing import peers as peers_module
-from bulrushdale.routing import residence as residence_module
 from bulrushdale.routing import revisions as revisions_module
 from bulrushdale.routing import selection as selection_module
 from bulrushdale.routing import targets as targets_module
@@ -38,11 +38,11 @@
 
 LOG = logging.getLogger(__name__)
 
-# A read of the configuration returns when there is news, or after this.
+# A read of the configuration returns with new records, or after this.
 CONFIGURATION_WAIT_MS = 700
-# Pause after news, so that a series of changes costs few reads.
+# Pause after a change, so that a series of changes costs few reads.
 CONFIGURATION_PAUSE_MS = 100
-# The list of targets changes with every heartbeat; waiting for news would
+# The list of targets changes with every heartbeat; waiting for changes would
 # cost a read for each.
 TARGETS_INTERVAL_MS = 600
 ROUTERS_INTERVAL_MS = 15_000
@@ -161,7 +161,7 @@
                 ),
             )
         }
-        self._residence = residence_module.Residence(clock)
+        self._residence = overrides_module.Overrides(clock)
         self._links = links_module.Links(
             address,
             self._peers,
@@ -352,7 +352,7 @@
                 store_up_ms=self._feeds["targets"].up_ms(),
                 targets=parts,
                 members=self._peers.members(),
-                places=self._residence.take_news(),
+                places=self._residence.take_updates(),
             )
         )
 
--- a/src/bulrushdale/routing/access.py
+++ b/src/bulrushdale/routing/access.py
@@ -8,7 +8,7 @@
 from bulrushdale.routing import revisions as revisions_module
 from bulrushdale.routing import routes
 
-# A router whose news is older than this does not claim that a key or route
+# A router whose copy is older than this does not claim that a key or route
 # doesn't exist; it asks the caller to come back. Twice the interval at which
 # the configuration is confirmed.
 CURRENT_MS = 3_000
@@ -78,5 +78,5 @@
 def _outdated(age_ms: int) -> results.RefusedError:
     return refusals.refuse(
         results.Code.CONFIGURATION_OUTDATED,
-        f"the last news of the configuration is {age_ms} ms old",
+        f"the configuration was last confirmed {age_ms} ms ago",
     )
--- a/src/bulrushdale/routing/health.py
+++ b/src/bulrushdale/routing/health.py
@@ -15,14 +15,14 @@
 # A target is set aside when this part of its results failed...
 FAILED_SHARE = 0.3
 # ...and this many did, so that one bad result is no reason...
-LEAST_FAILED = 3
+MIN_FAILED = 3
 # ...and the part is this much above its service's, whose requests may fail
 # by themselves.
 ABOVE_MEAN = 0.2
 # How long it is set aside before it gets requests again.
-REST_MS = 2_000
+EJECTION_MS = 2_000
 # The part of a service's targets that failing ones may be taken out of.
-MOST_SET_ASIDE = 0.5
+MAX_EJECTED_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,14 +52,14 @@
     :ivar unreachable: whether the last connection could not be opened.
     """
 
-    __slots__ = ("_clock", "_results", "_rest_until_ms", "unreachable")
+    __slots__ = ("_clock", "_results", "_ejected_until_ms", "unreachable")
 
     def __init__(self, clock: clock_module.Clock) -> None:
         self._clock = clock
         self._results: collections.deque[tuple[int, bool]] = collections.deque(
             maxlen=256
         )
-        self._rest_until_ms = 0
+        self._ejected_until_ms = 0
         self.unreachable = False
 
     def note(self, failed: bool) -> None:
@@ -75,13 +75,13 @@
         return Results(len(self._results), failed)
 
     @property
-    def resting(self) -> bool:
+    def ejected(self) -> bool:
         """Whether the target is set aside for failed requests."""
-        return self._clock.now_ms() < self._rest_until_ms
+        return self._clock.now_ms() < self._ejected_until_ms
 
-    def rest(self) -> None:
+    def eject(self) -> None:
         """Set the target aside, and judge it anew afterwards."""
-        self._rest_until_ms = self._clock.now_ms() + REST_MS
+        self._ejected_until_ms = self._clock.now_ms() + EJECTION_MS
         self._results.clear()
 
 
@@ -91,7 +91,7 @@
     :param target: its results, as all routers saw them.
     :param service: the results of all the service's targets.
     """
-    if target.failed < LEAST_FAILED:
+    if target.failed < MIN_FAILED:
         return False
     others = Results(
         service.done - target.done, service.failed - target.failed
--- a/src/bulrushdale/routing/residence.py
+++ b/src/bulrushdale/routing/overrides.py
@@ -19,24 +19,24 @@
 MEMORY_MS = 11_000
 # Exceptions in one report; at 24 bytes each they keep a report below one
 # datagram. Others follow with later uses.
-MOST_TOLD = 40
-MOST_KEPT = 20_000
+MAX_TOLD = 40
+MAX_KEPT = 20_000
 
 
-class Residence:
+class Overrides:
     """Remembers prefixes that live elsewhere than hashing puts them.
 
     :param clock: the clock.
     """
 
-    __slots__ = ("_clock", "_places", "_news")
+    __slots__ = ("_clock", "_places", "_updates")
 
     def __init__(self, clock: clock_module.Clock) -> None:
         self._clock = clock
         self._places: collections.OrderedDict[int, tuple[int, str]] = (
             collections.OrderedDict()
         )
-        self._news: dict[int, str] = {}
+        self._updates: dict[int, str] = {}
 
     def find(self, key: int) -> str | None:
         """Return the target where a prefix lives, if it is an exception.
@@ -62,19 +62,19 @@
         if target_id == usual and key not in self._places:
             return
         self._keep(key, target_id)
-        self._news[key] = target_id
+        self._updates[key] = target_id
 
     def _keep(self, key: int, target_id: str) -> None:
         self._places[key] = (self._clock.now_ms(), target_id)
         self._places.move_to_end(key)
-        while len(self._places) > MOST_KEPT:
+        while len(self._places) > MAX_KEPT:
             self._places.popitem(last=False)
 
-    def take_news(self) -> dict[int, str]:
+    def take_updates(self) -> dict[int, str]:
         """Return exceptions to tell other routers, each once."""
-        told = dict(list(self._news.items())[:MOST_TOLD])
+        told = dict(list(self._updates.items())[:MAX_TOLD])
         for key in told:
-            del self._news[key]
+            del self._updates[key]
         return told
 
     def learn(self, places: abc.Mapping[int, str]) -> None:
--- a/src/bulrushdale/routing/placement.py
+++ b/src/bulrushdale/routing/placement.py
@@ -17,12 +17,12 @@
 # covers what other routers placed since their last report.
 BOUND_OF_MEAN = 2.0
 BOUND_EXTRA = 1.5
-# Requests whose shared prefix is cheap to read elsewhere leave the upper part
-# of the bound to those for which that is dear: they stop at this part of it.
-CHEAP_PART = 0.7
+# Requests with a short shared prefix, which is read again quickly elsewhere,
+# leave the upper part of the bound to those with a long one.
+SHORT_PREFIX_SHARE = 0.7
 # A prefix of so many tokens may use the whole bound; reading it takes about
 # as long as a few steps of all running requests.
-DEAR_TOKENS = 4_000
+LONG_PREFIX_TOKENS = 4_000
 # Load that a target in another data centre counts more when nothing ties a
 # request to a target: traffic between data centres is paid for.
 REMOTE_EXTRA = 0.75
@@ -56,8 +56,8 @@
     """
     mean = (sum(loads) + 1) / len(loads)
     bound = mean * BOUND_OF_MEAN + BOUND_EXTRA
-    dear = min(1.0, shared_tokens / DEAR_TOKENS)
-    return bound * (CHEAP_PART + (1 - CHEAP_PART) * dear)
+    length = min(1.0, shared_tokens / LONG_PREFIX_TOKENS)
+    return bound * (SHORT_PREFIX_SHARE + (1 - SHORT_PREFIX_SHARE) * length)
 
 
 def prefix_order(
--- a/src/bulrushdale/routing/revisions.py
+++ b/src/bulrushdale/routing/revisions.py
@@ -1,4 +1,4 @@
-"""The configuration in force at one router, and how old its news of it is."""
+"""The configuration in force at one router, and when it was last confirmed."""
 
 import logging
 
@@ -52,7 +52,7 @@
             self._confirmed_ms = as_of_ms
 
     def age_ms(self) -> int | None:
-        """Return the age of the news; none if there never was any."""
+        """Return the time since it was confirmed; none if it never was."""
         if self._confirmed_ms is None or self.current is None:
             return None
         return max(0, self._clock.boot_ms() - self._confirmed_ms)
--- a/src/bulrushdale/routing/selection.py
+++ b/src/bulrushdale/routing/selection.py
@@ -8,9 +8,9 @@
 from bulrushdale import hashing
 from bulrushdale.routing import calls
 from bulrushdale.routing import health
+from bulrushdale.routing import overrides as overrides_module
 from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import placement
-from bulrushdale.routing import residence as residence_module
 from bulrushdale.routing import routes
 from bulrushdale.routing import targets as targets_module
 
@@ -23,7 +23,7 @@
     :param data_centre: where this router runs.
     :param targets: all targets.
     :param peers: what other routers report.
-    :param residence: prefixes that live elsewhere than hashing puts them.
+    :param overrides: prefixes that live elsewhere than hashing puts them.
     :param clock: the clock.
     """
 
@@ -40,13 +40,13 @@
         data_centre: str,
         targets: targets_module.Targets,
         peers: peers_module.Peers,
-        residence: residence_module.Residence,
+        overrides: overrides_module.Overrides,
         clock: clock_module.Clock,
     ) -> None:
         self._data_centre = data_centre
         self._targets = targets
         self._peers = peers
-        self._residence = residence
+        self._residence = overrides
         self._clock = clock
 
     def load(self, target: targets_module.Target) -> int:
@@ -119,7 +119,7 @@
     ) -> list[targets_module.Target]:
         """Return reachable targets, those not set aside first."""
         reachable = [t for t in staying if not t.health.unreachable]
-        well = [t for t in reachable if not t.health.resting]
+        well = [t for t in reachable if not t.health.ejected]
         return well or reachable
 
     def why_none(self, service: str) -> str:
@@ -140,23 +140,23 @@
             for t in staying
         }
         total = sum(results.values(), health.Results(0, 0))
-        most = int(len(staying) * health.MOST_SET_ASIDE)
-        aside = sum(1 for t in staying if t.health.resting)
+        most = int(len(staying) * health.MAX_EJECTED_SHARE)
+        aside = sum(1 for t in staying if t.health.ejected)
         for target in staying:
             if aside >= most:
                 return
             own = results[target.target_id]
-            if not target.health.resting and health.is_outlier(own, total):
-                target.health.rest()
+            if not target.health.ejected and health.is_outlier(own, total):
+                target.health.eject()
                 aside += 1
                 LOG.warning(
                     "target set aside",
                     extra={
-                        "event": "target.resting",
+                        "event": "target.ejected",
                         "target": target.target_id,
                         "service": service,
                         "failed": own.failed,
                         "done": own.done,
-                        "for_ms": health.REST_MS,
+                        "for_ms": health.EJECTION_MS,
                     },
                 )
--- a/src/bulrushdale/routing/targets.py
+++ b/src/bulrushdale/routing/targets.py
@@ -93,7 +93,7 @@
             return "leaving"
         if self.health.unreachable:
             return "unreachable"
-        return "resting" if self.health.resting else "good"
+        return "ejected" if self.health.ejected else "good"
 
 
 class Targets:
--- a/src/bulrushdale/routing/patience.py
+++ b/src/bulrushdale/routing/timeouts.py
@@ -11,16 +11,16 @@
 # target needs time too.
 TARGET_TIMES = 1.5
 # Least patience, above the slowest usual answers of plain services.
-LEAST_MS = 500
+MIN_MS = 500
 # A stream that paused for this multiple of the longest pause is taken for
 # stalled; callers leave at eight times.
 PAUSES = 3.0
-LEAST_PAUSE_MS = 900
+MIN_PAUSE_MS = 900
 # Time that a last answer, such as the target's own at the deadline, has to
 # come in behind the deadline.
 LATE_MS = 100
 # Less time than this is no offer to a target.
-LEAST_LEFT_MS = 20
+MIN_LEFT_MS = 20
 
 
 def for_answer(route: routes.Route, left_ms: float, another: bool) -> float:
@@ -32,8 +32,8 @@
     """
     if not route.repeatable or not another:
         return left_ms + LATE_MS
-    patience_ms = max(LEAST_MS, route.target_time_ms * TARGET_TIMES)
-    return min(patience_ms, left_ms + LATE_MS)
+    timeout_ms = max(MIN_MS, route.target_time_ms * TARGET_TIMES)
+    return min(timeout_ms, left_ms + LATE_MS)
 
 
 def for_event(route: routes.Route, left_ms: float, another: bool) -> float:
@@ -45,5 +45,5 @@
     """
     if not route.repeatable or not another:
         return left_ms + LATE_MS
-    pause_ms = max(LEAST_PAUSE_MS, route.max_pause_ms * PAUSES)
+    pause_ms = max(MIN_PAUSE_MS, route.max_pause_ms * PAUSES)
     return min(pause_ms, left_ms + LATE_MS)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -77,10 +77,10 @@
     assert feed.age_ms() == 400
 
 
-async def test_peers_wait_for_news(make_feed):
+async def test_peers_wait_for_records(make_feed):
     feed = make_feed()
     feed.take(page(record(0)), 1)
-    waiting = asyncio.ensure_future(feed.wait_for_news(1, 5_000))
+    waiting = asyncio.ensure_future(feed.wait_for_records(1, 5_000))
     await asyncio.sleep(0)
     feed.take(page(record(1, value=b"other")), 2)
     async with asyncio.timeout(1):
--- a/tests/test_route_targets.py
+++ b/tests/test_route_targets.py
@@ -8,8 +8,8 @@
 from bulrushdale import hashing
 from bulrushdale.routing import budget as budget_module
 from bulrushdale.routing import health
+from bulrushdale.routing import overrides as overrides_module
 from bulrushdale.routing import placement
-from bulrushdale.routing import residence as residence_module
 from bulrushdale.routing import targets as targets_module
 
 LISTING = targets_module.Listing(
@@ -169,31 +169,31 @@
         assert loads[found] <= 2 * mean + 3
 
 
-def test_cheap_prefixes_leave_room_for_dear_ones():
+def test_short_prefixes_leave_room_for_long_ones():
     """With mixed traffic over a hot target the long prefixes stay there."""
     loads = {"a": 10, "b": 4, "c": 4, "d": 4}
-    dear = placement.load_bound(loads.values(), 10_000)
-    cheap = placement.load_bound(loads.values(), 600)
-    assert cheap < 11 <= dear
+    long = placement.load_bound(loads.values(), 10_000)
+    short = placement.load_bound(loads.values(), 600)
+    assert short < 11 <= long
     for key in range(50):
         if hashing.winner(key, loads) == "a":
-            assert place(key, loads, dear) == "a"
-            assert place(key, loads, cheap) != "a"
+            assert place(key, loads, long) == "a"
+            assert place(key, loads, short) != "a"
 
 
 def test_prefixes_in_use_stay_when_a_target_joins(clock):
     """A join moves no prefix that is in use; hashing alone moves a fifth."""
     old = ["a", "b", "c", "d"]
     joined = [*old, "e"]
-    residence = residence_module.Residence(clock)
+    overrides = overrides_module.Overrides(clock)
     before = {key: hashing.winner(key, old) for key in range(200)}
     for settled in (old, joined):
         for key in range(200):
             order = placement.prefix_order(key, settled, joined, ())
-            if residence.find(key) is not None:
-                order.insert(0, residence.find(key))
+            if overrides.find(key) is not None:
+                order.insert(0, overrides.find(key))
             assert order[0] == before[key]
-            residence.note(key, order[0], hashing.winner(key, joined))
+            overrides.note(key, order[0], hashing.winner(key, joined))
     by_hash = [hashing.winner(key, joined) for key in range(200)]
     assert 20 < by_hash.count("e") < 60
 
@@ -211,14 +211,14 @@
 
 
 def test_routers_learn_exceptions_and_forget_them(clock):
-    one = residence_module.Residence(clock)
-    two = residence_module.Residence(clock)
+    one = overrides_module.Overrides(clock)
+    two = overrides_module.Overrides(clock)
     one.note(1, "a", "b")
     one.note(2, "b", "b")
-    news = one.take_news()
-    assert news == {1: "a"}
-    assert one.take_news() == {}
-    two.learn(news)
+    updates = one.take_updates()
+    assert updates == {1: "a"}
+    assert one.take_updates() == {}
+    two.learn(updates)
     assert two.find(1) == "a"
-    clock.advance(residence_module.MEMORY_MS + 1)
+    clock.advance(overrides_module.MEMORY_MS + 1)
     assert two.find(1) is None
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,6 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_promises_hold_under_random_faults(seed):
-    witness = await scenario.play(seed, seconds=8, routers=3)
-    assert witness.broken == []
-    assert witness.answers["200"] > 20
+    checker = await scenario.play(seed, seconds=8, routers=3)
+    assert checker.broken == []
+    assert checker.answers["200"] > 20
