--- a/src/bulrushdale/routing/peers.py
+++ b/src/bulrushdale/routing/peers.py
@@ -19,6 +19,15 @@
 # A report older than this is left out: its router may be gone and the work
 # it had with it.
 REPORT_LIFE_MS = 1_500
+# A collector's sums are valid for longer, as they come less often the more
+# there is to say to the more routers.
+SUM_LIFE_MS = 3_000
+# What a collector may spend on its sums; a tenth of the smallest links.
+SUM_BYTES_PER_S = 125_000
+# One target in an encoded report: id, separators and three numbers.
+TARGET_BYTES = 28
+# Targets in one report, so that it fits a datagram of 64 KiB.
+MAX_TARGETS = 2_000
 # A router that was silent for so long does not count as one of the fleet.
 MEMBER_LIFE_MS = 6_000
 # Up to this size all report to all: at four reports a second of some hundred
@@ -107,11 +116,25 @@
         routers=routers,
         whole_fleet=whole,
         store_up_ms=store_up_ms,
-        targets=targets,
+        targets=_busiest(targets),
         places=places,
     )
 
 
+def _sending_ms(sums: abc.Collection[tuple[str, Report]]) -> int:
+    """Return the time over which a collector's sums have to be spread."""
+    size_bytes = sum(len(r.targets) * TARGET_BYTES for _, r in sums)
+    return size_bytes * 1000 // SUM_BYTES_PER_S
+
+
+def _busiest(
+    targets: abc.Mapping[str, TargetReport],
+) -> dict[str, TargetReport]:
+    """Return as many targets as a report holds, the busiest ones first."""
+    order = sorted(targets, key=lambda name: -targets[name].in_flight)
+    return {name: targets[name] for name in order[:MAX_TARGETS]}
+
+
 class _Peer:
     """Another router.
 
@@ -146,7 +169,14 @@
     :param clock: the clock.
     """
 
-    __slots__ = ("_own_address", "_data_centre", "_clock", "_peers", "_told")
+    __slots__ = (
+        "_own_address",
+        "_data_centre",
+        "_clock",
+        "_peers",
+        "_told",
+        "_next_sums_ms",
+    )
 
     def __init__(
         self, own_address: str, data_centre: str, clock: clock_module.Clock
@@ -156,6 +186,7 @@
         self._clock = clock
         self._peers: dict[str, _Peer] = {}
         self._told: abc.Mapping[str, TargetReport] = {}
+        self._next_sums_ms = 0
 
     def introduce(self, address: str, data_centre: str) -> None:
         """Add an address at which a router may be.
@@ -266,8 +297,11 @@
         if collector is not None and collector != self._own_address:
             sent.append((collector, own))
         reporting = self._reporting()
-        if reporting or collector == self._own_address:
-            sent += self._sums(own, reporting)
+        collects = bool(reporting) or collector == self._own_address
+        if collects and self._clock.now_ms() >= self._next_sums_ms:
+            sums = self._sums(own, reporting)
+            sent += sums
+            self._next_sums_ms = self._clock.now_ms() + _sending_ms(sums)
         for address, _ in sent:
             peer = self._peers[address]
             if peer.asked_ms is None:
@@ -280,7 +314,7 @@
         """Return a collector's sums for its routers and its like."""
         here = merge(own, reporting, whole=False)
         elsewhere: dict[str, Report] = {}
-        for report in self._fresh(REPORT_LIFE_MS):
+        for report in self._fresh(SUM_LIFE_MS):
             if report.data_centre != self._data_centre:
                 known = elsewhere.get(report.data_centre)
                 if known is None or known.routers < report.routers:
@@ -297,9 +331,7 @@
     def _whole(self) -> Report | None:
         """Return the newest sum over the fleet that a collector told."""
         told = [
-            report
-            for report in self._fresh(REPORT_LIFE_MS)
-            if report.whole_fleet
+            report for report in self._fresh(SUM_LIFE_MS) if report.whole_fleet
         ]
         return max(told, key=lambda report: report.routers, default=None)
 
