--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -259,18 +259,19 @@
     with tempfile.TemporaryDirectory(prefix="soak-") as folder:
         run = Run(seed, routers, pathlib.Path(folder))
         async with run.stack:
-            await _start(run)
-            end_s = time.monotonic() + seconds
-            callers = [
-                asyncio.create_task(_call(run, number, end_s))
-                for number in range(CALLERS)
-            ]
-            await _break(run, end_s)
-            await asyncio.gather(*callers)
-            for router in run.routers:
-                router.send(signal.SIGCONT)
-                router.send(signal.SIGKILL)
-                await router.ended()
+            try:
+                await _start(run)
+                end_s = time.monotonic() + seconds
+                callers = [
+                    asyncio.create_task(_call(run, number, end_s))
+                    for number in range(CALLERS)
+                ]
+                await _break(run, end_s)
+                await asyncio.gather(*callers)
+            finally:
+                for router in run.routers:
+                    router.send(signal.SIGKILL)
+                    await router.ended()
     return run.checker
 
 
--- a/src/bulrushdale/forwarding/links.py
+++ b/src/bulrushdale/forwarding/links.py
@@ -116,7 +116,7 @@
     __slots__ = (
         "_address",
         "_peers",
-        "_residence",
+        "_overrides",
         "_feeds",
         "_session",
         "_clock",
@@ -135,7 +135,7 @@
     ) -> None:
         self._address = address
         self._peers = peers
-        self._residence = overrides
+        self._overrides = overrides
         self._feeds = feeds
         self._session = session
         self._clock = clock
@@ -166,7 +166,7 @@
         try:
             report = decode_report(data)
             if self._peers.take(report):
-                self._residence.learn(report.places)
+                self._overrides.learn(report.places)
         except ValueError as error:
             LOG.warning(
                 "report skipped",
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -161,11 +161,11 @@
                 ),
             )
         }
-        self._residence = overrides_module.Overrides(clock)
+        self._overrides = overrides_module.Overrides(clock)
         self._links = links_module.Links(
             address,
             self._peers,
-            self._residence,
+            self._overrides,
             self._feeds,
             own_session,
             clock,
@@ -190,7 +190,7 @@
                 settings.data_centre,
                 self._targets,
                 self._peers,
-                self._residence,
+                self._overrides,
                 clock,
             ),
             budget=budget_module.RetryBudget(
@@ -352,7 +352,7 @@
                 store_up_ms=self._feeds["targets"].up_ms(),
                 targets=parts,
                 members=self._peers.members(),
-                places=self._residence.take_updates(),
+                places=self._overrides.take_updates(),
             )
         )
 
--- a/src/bulrushdale/routing/selection.py
+++ b/src/bulrushdale/routing/selection.py
@@ -31,7 +31,7 @@
         "_data_centre",
         "_targets",
         "_peers",
-        "_residence",
+        "_overrides",
         "_clock",
     )
 
@@ -46,7 +46,7 @@
         self._data_centre = data_centre
         self._targets = targets
         self._peers = peers
-        self._residence = overrides
+        self._overrides = overrides
         self._clock = clock
 
     def load(self, target: targets_module.Target) -> int:
@@ -105,13 +105,13 @@
             loads,
             self._targets.gone(service),
         )
-        lives_at = self._residence.find(key)
+        lives_at = self._overrides.find(key)
         if lives_at is not None:
             order.insert(0, lives_at)
         bound = placement.load_bound(loads.values(), call.shared_tokens)
         found = placement.by_prefix(order, candidates, bound)
         usual = hashing.winner(key, loads)
-        self._residence.note(key, found.target_id, usual)
+        self._overrides.note(key, found.target_id, usual)
         return found
 
     def _fit(
