--- a/src/bulrushdale/daemon.py
+++ b/src/bulrushdale/daemon.py
@@ -347,9 +347,11 @@
         while self._busy() and self._clock.now_ms() < deadline_ms:
             await self._clock.sleep_ms(DRAIN_POLL_MS)
         left_ms = max(0, deadline_ms - self._clock.now_ms())
-        with contextlib.suppress(TimeoutError):
+        try:
             async with asyncio.timeout(left_ms / 1000):
                 await parts.holder.flush()
+        except TimeoutError:
+            LOG.warning("outcomes of calls not recorded in time to stop")
         LOG.info("drained", extra={"requests_left": parts.activity.requests})
         await self._close()
 
