--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -282,6 +282,35 @@
         assert second.headers["last-event-id"] == "0"
 
 
+async def pause(request, writer):
+    writer.write(scripted_target.stream_head(request))
+    first = int(request.headers.get("last-event-id", -1)) + 1
+    for number in range(first, 5):
+        writer.write(scripted_target.chunk(scripted_target.event(number)))
+        await writer.drain()
+        if number == 0:
+            await asyncio.sleep(1.4)
+    writer.write(scripted_target.chunk(b""))
+
+
+async def test_slow_streams_beyond_the_retry_budget_are_waited_for(
+    deployment, caller
+):
+    """A stream is given up only if it can be resumed elsewhere."""
+    deployment.routers[0]._parts.budget.limit(0, 1.25, 10_000)
+    everyone(deployment, pause)
+
+    async def read(number):
+        async with caller.post(
+            deployment.url("/plan/x"), headers=headers(f"q{number}")
+        ) as response:
+            return await response.read()
+
+    bodies = await asyncio.gather(*(read(n) for n in range(3)))
+    whole = b"".join(scripted_target.event(n) for n in range(5))
+    assert bodies == [whole] * 3
+
+
 async def test_stream_that_may_not_resume_never_looks_whole(
     deployment, caller
 ):
