Reset connections whose request is given up

Ruled out: late knowledge of the list; the request had been answered by another target at 8.9 s, the list was up to date. test_request_that_is_given_up_is_reset failed first.

--- a/src/bulrushdale/forwarding/connections.py
+++ b/src/bulrushdale/forwarding/connections.py
@@ -3,6 +3,7 @@
 import functools
 import logging
 import socket
+import struct
 import typing
 
 import aiohttp
@@ -26,6 +27,8 @@
 # For requests that may not be repeated, an idle connection must be this
 # young: a reset after sending would leave it unknown whether they ran.
 ONCE_IDLE_LIMIT_MS = 500
+# Linger for no time: unsent data is dropped and the peer gets a reset.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Routes with long prompts name their parts in one header.
 FIELD_BYTES = 65_536
 
@@ -54,10 +57,12 @@
 
     :ivar id_header: the header by which a target names the request.
     :ivar expected_id: the request that is waited for; none for any.
+    :ivar unanswered: whether the head of its answer is still to come.
     """
 
     id_header = ""
     expected_id: str | None = None
+    unanswered = False
 
     async def read(self) -> tuple[typing.Any, typing.Any]:
         """Return the next answer that isn't to another request.
@@ -65,10 +70,12 @@
         A target may send a second answer to an earlier request, which then
         stands where the next answer is expected.
         """
+        self.unanswered = True
         while True:
             message, payload = await super().read()
             found = message.headers.get(self.id_header)
             if found is None or self.expected_id in (None, found):
+                self.unanswered = False
                 return message, payload
             LOG.warning(
                 "answer to another request dropped",
@@ -81,6 +88,22 @@
             )
             await payload.read()
 
+    def close(self) -> None:
+        """Close the connection, and drop a request that is still unanswered.
+
+        After an orderly end the kernel would go on sending the request, and a
+        link that was cut would deliver it when it is back, long after another
+        target has answered it.
+        """
+        transport = self.transport
+        if transport is not None and (self.unanswered or self.should_close):
+            sock = transport.get_extra_info("socket")
+            if sock is not None:
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
+        super().close()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an answer without a length whose connection was reset.
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -413,6 +413,33 @@
     assert sum(len(target.closed) for target in deployment.targets) == 1
 
 
+async def test_request_that_is_given_up_is_reset(deployment, caller):
+    """With an orderly end a cut link may deliver it seconds later."""
+    ends = []
+
+    async def watch(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        try:
+            ends.append(await reader.read())
+        except ConnectionResetError as error:
+            ends.append(type(error))
+
+    server = await asyncio.start_server(watch, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    entry = gateway_fixtures.make_entry(f"127.0.0.1:{port}")
+    for name in ("t1", "t2"):
+        await deployment.store.put("keyed.servers", name, entry)
+    await asyncio.sleep(1.2)
+    async with caller.get(
+        deployment.url("/lookup/x"), headers=headers(deadline_ms=800)
+    ) as response:
+        assert response.status == 504
+    await asyncio.sleep(0.1)
+    server.close()
+    assert ends == [ConnectionResetError] * len(ends)
+    assert ends
+
+
 async def test_timeout_of_the_route_is_answered_on_time(deployment, caller):
     await deployment.publish(version=2, timeout_ms=300)
     await asyncio.sleep(0.3)
