Take the retry before a slow target is left

Cause: when its patience was over, a wait ended because a retry was left at that moment; the retry was taken later, when the next target was chosen. Of several streams that paused at once all were given up, and those that came too late for the last retry were cut although their target would have gone on.

Ruled out: a longer patience (moves the point, the race stays); counting waits as spent retries beforehand (starves requests that really failed).

Now the end of a wait takes the retry itself; without one the wait goes on and asks again every 250 ms until the deadline.

--- a/src/bulrushdale/forwarding/probes.py
+++ b/src/bulrushdale/forwarding/probes.py
@@ -22,6 +22,9 @@
 # tell a lost packet from a cut.
 CHECK_TIMEOUT_MS = 120
 CHECK_TRIES = 2
+# A wait that couldn't be left, as no retry was left, asks again this often;
+# the window of retries moves on by tenths of its ten seconds.
+ASK_INTERVAL_MS = 250
 # An unreachable target is tried again this often.
 REPEAT_INTERVAL_MS = 500
 
@@ -41,21 +44,24 @@
         self._targets = targets
         self._clock = clock
         self._checks: dict[str, asyncio.Task[None]] = {}
-        self._waits: dict[str, set[asyncio.Timeout]] = {}
+        self._waits: dict[str, set[abc.Callable[[], None]]] = {}
 
     @contextlib.asynccontextmanager
     async def watch(
         self,
         target: targets_module.Target,
         timeout_ms: float,
-        may_leave: bool,
+        patience_ms: float | None = None,
+        may_leave: abc.Callable[[], bool] = lambda: False,
     ) -> abc.AsyncIterator[None]:
         """Limit a wait for a target, and check the target if it is silent.
 
         :param target: the target that is waited for.
         :param timeout_ms: the longest wait, in ms.
-        :param may_leave: whether the wait ends early if the target turns out
-            to be unreachable.
+        :param patience_ms: when to leave for another target, in ms.
+        :param may_leave: asked when the patience is over, again while it
+            says no, and when the target turns out to be unreachable; the
+            wait ends early if it says yes.
         :raises TimeoutError: if the wait is over.
         """
         loop = asyncio.get_running_loop()
@@ -63,12 +69,17 @@
         waits = self._waits.setdefault(target.target_id, set())
         try:
             async with asyncio.timeout(timeout_ms / 1000) as limit:
-                if may_leave:
-                    waits.add(limit)
-                yield
+
+                def leave() -> None:
+                    if not limit.expired() and may_leave():
+                        limit.reschedule(loop.time())
+
+                waits.add(leave)
+                with _repeated(leave, patience_ms):
+                    yield
         finally:
             silence.cancel()
-            waits.discard(limit)
+            waits.discard(leave)
             if not waits:
                 self._waits.pop(target.target_id, None)
 
@@ -94,9 +105,8 @@
                 "service": target.listing.service,
             },
         )
-        now_s = asyncio.get_running_loop().time()
-        for limit in list(self._waits.get(target.target_id, ())):
-            limit.reschedule(now_s)
+        for leave in list(self._waits.get(target.target_id, ())):
+            leave()
         for neighbour in self._targets.all():
             near = neighbour.listing.data_centre == target.listing.data_centre
             if near and not neighbour.health.unreachable:
@@ -131,6 +141,28 @@
             await self._clock.sleep_ms(REPEAT_INTERVAL_MS)
 
 
+@contextlib.contextmanager
+def _repeated(
+    callback: abc.Callable[[], None], after_ms: float | None
+) -> abc.Iterator[None]:
+    """Call back after a time, and then again and again."""
+    loop = asyncio.get_running_loop()
+    timer: asyncio.TimerHandle | None = None
+
+    def call() -> None:
+        nonlocal timer
+        timer = loop.call_later(ASK_INTERVAL_MS / 1000, call)
+        callback()
+
+    if after_ms is not None:
+        timer = loop.call_later(after_ms / 1000, call)
+    try:
+        yield
+    finally:
+        if timer is not None:
+            timer.cancel()
+
+
 async def _connects(address: str) -> bool:
     host, _, port = address.rpartition(":")
     try:
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -51,6 +51,7 @@
         "_tried",
         "_offers",
         "_runs",
+        "_retry_taken",
         "_response",
         "_splitter",
     )
@@ -78,6 +79,7 @@
         self._tried: set[str] = set()
         self._offers = 0
         self._runs = 0
+        self._retry_taken = False
         self._response: web.StreamResponse | None = None
         self._splitter = events.Splitter(call.resume_after)
 
@@ -147,10 +149,9 @@
         )
         if target is None:
             raise self._end(self._parts.selection.why_none(self._service))
-        if self._offers and not self._parts.budget.spend(
-            self._service, self._parts.peers.count()
-        ):
+        if self._offers and not self._take_retry():
             raise self._end("the retry budget is spent")
+        self._retry_taken = False
         self._tried.add(target.target_id)
         self._log(
             "request.placed",
@@ -182,16 +183,25 @@
     def _may_run_again(self) -> bool:
         return self._route.repeatable and self._runs < self._route.max_attempts
 
-    def _another(self) -> bool:
-        """Whether another target could be asked after the present one."""
-        return (
-            self._may_run_again()
-            and len(self._parts.targets.staying(self._service))
-            > len(self._tried)
-            and self._parts.budget.left(
+    def _take_retry(self) -> bool:
+        """Reserve a retry for the next target, if the budget has one."""
+        if not self._retry_taken:
+            self._retry_taken = self._parts.budget.spend(
                 self._service, self._parts.peers.count()
             )
-            > 0
+        return self._retry_taken
+
+    def _may_leave(self) -> bool:
+        """Whether to give the present target up for another one.
+
+        Takes the retry for it: of many requests that wait when their
+        patience is over, only those leave that another target may get.
+        """
+        staying = len(self._parts.targets.staying(self._service))
+        return (
+            self._may_run_again()
+            and staying > len(self._tried)
+            and self._take_retry()
         )
 
     async def _try(
@@ -209,10 +219,7 @@
             self._call,
             self._headers(target, left_ms),
             self._parts.wire.decode_answer,
-            self._wait(
-                target,
-                timeouts.for_answer(self._route, left_ms, self._another()),
-            ),
+            self._wait(target, timeouts.patience_for_answer_ms(self._route)),
         )
         if isinstance(outcome, attempt.NotRun):
             self._runs -= 1
@@ -228,10 +235,15 @@
         return await self._relay_whole(target, outcome)
 
     def _wait(
-        self, target: targets_module.Target, timeout_ms: float
+        self, target: targets_module.Target, patience_ms: float | None = None
     ) -> attempt.Wait:
-        """Limit a wait for a target; shorter if it is cut off meanwhile."""
-        return self._parts.prober.watch(target, timeout_ms, self._another())
+        """Limit a wait for a target; shorter if it may be left meanwhile."""
+        return self._parts.prober.watch(
+            target,
+            self._left_ms() + timeouts.LATE_MS,
+            patience_ms,
+            self._may_leave,
+        )
 
     def _session(self) -> aiohttp.ClientSession:
         if self._route.repeatable:
@@ -287,14 +299,13 @@
     async def _relay_whole(
         self, target: targets_module.Target, opened: attempt.Opened
     ) -> web.StreamResponse | None:
-        timeout_ms = self._left_ms() + timeouts.LATE_MS
-        body = await attempt.read_whole(opened, self._wait(target, timeout_ms))
+        body = await attempt.read_whole(opened, self._wait(target))
         if isinstance(body, attempt.Unknown):
             self._note_failed(target, body.reason)
             return None
         head = opened.head
         failed = head.status >= 500
-        if failed and (self._another() or self._response is not None):
+        if failed and (self._response is not None or self._may_leave()):
             self._note_failed(target, f"answered {head.status}")
             return None
         if self._response is not None:
@@ -334,11 +345,10 @@
         """
         content = opened.response.content
         while True:
-            wait_ms = timeouts.for_event(
-                self._route, self._left_ms(), self._another()
-            )
             try:
-                async with self._wait(target, wait_ms):
+                async with self._wait(
+                    target, timeouts.patience_for_event_ms(self._route)
+                ):
                     data = await content.readany()
             except TimeoutError:
                 return "no event in time"
--- a/src/bulrushdale/routing/timeouts.py
+++ b/src/bulrushdale/routing/timeouts.py
@@ -23,27 +23,23 @@
 MIN_LEFT_MS = 20
 
 
-def for_answer(route: routes.Route, left_ms: float, another: bool) -> float:
-    """Return how long to wait for an answer's first bytes, in ms.
+def patience_for_answer_ms(route: routes.Route) -> float | None:
+    """Return the time for an answer's first bytes, in ms; none if no other
+    target may be asked.
 
     :param route: the request's route.
-    :param left_ms: time until the deadline.
-    :param another: whether another target could be asked after this one.
     """
-    if not route.repeatable or not another:
-        return left_ms + LATE_MS
-    timeout_ms = max(MIN_MS, route.target_time_ms * TARGET_TIMES)
-    return min(timeout_ms, left_ms + LATE_MS)
+    if not route.repeatable:
+        return None
+    return max(MIN_MS, route.target_time_ms * TARGET_TIMES)
 
 
-def for_event(route: routes.Route, left_ms: float, another: bool) -> float:
-    """Return how long to wait for a stream's next event, in ms.
+def patience_for_event_ms(route: routes.Route) -> float | None:
+    """Return the time for a stream's next event, in ms; none if no other
+    target may resume it.
 
     :param route: the request's route.
-    :param left_ms: time until the deadline.
-    :param another: whether another target could resume the stream.
     """
-    if not route.repeatable or not another:
-        return left_ms + LATE_MS
-    pause_ms = max(MIN_PAUSE_MS, route.max_pause_ms * PAUSES)
-    return min(pause_ms, left_ms + LATE_MS)
+    if not route.repeatable:
+        return None
+    return max(MIN_PAUSE_MS, route.max_pause_ms * PAUSES)
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -48,7 +48,7 @@
     targets, prober, target
 ):
     slow = add(targets, "t1", target.address)
-    async with prober.watch(slow, 5_000, may_leave=True):
+    async with prober.watch(slow, 5_000, may_leave=lambda: True):
         await asyncio.sleep(probes.SILENCE_MS / 1000 + 0.2)
     assert not slow.health.unreachable
 
@@ -60,7 +60,7 @@
     await target.stop()
     started = asyncio.get_running_loop().time()
     with pytest.raises(TimeoutError):
-        async with prober.watch(gone, 5_000, may_leave=True):
+        async with prober.watch(gone, 5_000, may_leave=lambda: True):
             await asyncio.sleep(5)
     assert asyncio.get_running_loop().time() - started < 1
     assert gone.health.unreachable
@@ -71,7 +71,7 @@
 ):
     gone = add(targets, "t1", target.address)
     await target.stop()
-    async with prober.watch(gone, 5_000, may_leave=False):
+    async with prober.watch(gone, 5_000):
         await asyncio.sleep(probes.SILENCE_MS / 1000 + 0.2)
     assert gone.health.unreachable
 
@@ -98,3 +98,30 @@
     await asyncio.sleep(0.05)
     repeating.cancel()
     assert not back.health.unreachable
+
+
+async def test_wait_is_left_once_a_retry_is_left(targets, prober, target):
+    slow = add(targets, "t1", target.address)
+    answers = [False, False, True]
+    started = asyncio.get_running_loop().time()
+    with pytest.raises(TimeoutError):
+        async with prober.watch(
+            slow, 5_000, patience_ms=50, may_leave=lambda: answers.pop(0)
+        ):
+            await asyncio.sleep(5)
+    took_ms = (asyncio.get_running_loop().time() - started) * 1000
+    assert 50 + 2 * probes.ASK_INTERVAL_MS <= took_ms < 1_500
+    assert not answers
+
+
+async def test_wait_without_a_retry_lasts_until_its_end(
+    targets, prober, target
+):
+    slow = add(targets, "t1", target.address)
+    started = asyncio.get_running_loop().time()
+    with pytest.raises(TimeoutError):
+        async with prober.watch(
+            slow, 600, patience_ms=50, may_leave=lambda: False
+        ):
+            await asyncio.sleep(5)
+    assert asyncio.get_running_loop().time() - started >= 0.6
