Count work once when routers change their home; lose links at once

For 3.5 s the router's next start was cut off from its home; then all that had waited was granted at once. - A home dropped the slots of a router that went to another home as if their work had ended, and granted on. - A home that a router came to counted its slots twice, once as foreign, until the next reports; the bound rose with them (16 for 11).

Four tests failed first.

--- a/src/bulrushdale/admission/ledger.py
+++ b/src/bulrushdale/admission/ledger.py
@@ -79,6 +79,7 @@
         "_orphaned",
         "_history",
         "_foreign",
+        "_taken_over",
         "_unknown",
         "_since_ms",
     )
@@ -98,6 +99,7 @@
         self._orphaned: collections.Counter[str] = collections.Counter()
         self._history: dict[str, History] = {}
         self._foreign: dict[str, int] = {}
+        self._taken_over: collections.Counter[str] = collections.Counter()
         self._unknown: dict[str, int] = {}
         self._since_ms = -1
 
@@ -141,8 +143,11 @@
         """
         own = self._load[target]
         sure = own - self._orphaned[target] - self._young[target]
-        beside = self._foreign.get(target, 0) if standing.complete else 0
-        return max(0, sure) + beside
+        if not standing.complete:
+            return max(0, sure)
+        # The newest report may count what was attached since as foreign.
+        beside = self._foreign.get(target, 0) - self._taken_over[target]
+        return max(0, sure) + max(0, beside)
 
     def reported(self, target: str, standing: bound.Standing) -> bool:
         """Return whether it is known what may run on a target."""
@@ -212,14 +217,23 @@
         self._count_orphans()
         known = {key for key in self._slots if key[0] == router}
         for seq, slot in held.items():
+            if (router, seq) not in known:
+                self._taken_over[slot.target] += 1
             self.add((router, seq), slot)
             known.discard((router, seq))
         for key in known:
             self.drop(key)
 
     def forget(self, router: str) -> None:
-        """Drop all slots of a router."""
+        """Drop all slots of a router.
+
+        Its requests may run on, counted by another home or by nobody, until
+        a report shows that they don't.
+        """
         for key in [key for key in self._slots if key[0] == router]:
+            target = self._slots[key].target
+            if target in self._unknown:
+                self._unknown[target] += 1
             self.drop(key)
         self._lost.pop(router, None)
         self._count_orphans()
@@ -232,8 +246,6 @@
     def expire_orphans(self) -> bool:
         """Drop the slots of lost routers whose time is over.
 
-        Some of them may run on until a report shows that they don't.
-
         :return: whether any were dropped.
         """
         now_ms = self._clock.now_ms()
@@ -241,9 +253,6 @@
         for router, until_ms in list(self._lost.items()):
             if now_ms < until_ms:
                 continue
-            for (holder, _), slot in self._slots.items():
-                if holder == router and slot.target in self._unknown:
-                    self._unknown[slot.target] += 1
             self.forget(router)
             dropped = True
         return dropped
@@ -279,6 +288,7 @@
         self._note_load(target)
         history = self._history[target]
         self._foreign[target] = max(0, running - history.most())
+        self._taken_over.pop(target, None)
         self.follow(standing)
         age_ms = self._clock.now_ms() - standing.since_ms
         if standing.majority and age_ms >= REPORT_LAG_MS:
--- a/src/bulrushdale/fleet/links.py
+++ b/src/bulrushdale/fleet/links.py
@@ -143,6 +143,7 @@
         self._server: server.Server | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._retired_bytes = 0
+        self._stopping = False
 
     def get(self, name: str) -> Link | None:
         """Return the link to a router, if there is one."""
@@ -170,6 +171,7 @@
 
     async def stop(self) -> None:
         """Close every link."""
+        self._stopping = True
         for task in [*self._tasks, *self._dialling.values()]:
             task.cancel()
         for link in self.all():
@@ -295,10 +297,11 @@
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         finally:
+            # Before any wait, as the server may cancel this call twice.
+            self._lose(link)
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
-            self._lose(link)
 
     def _open(self, first: pb.Frame) -> Link:
         hello = first.hello
@@ -333,8 +336,12 @@
         self._probe_now(link.peer)
 
     def _probe_now(self, member: members_module.Member) -> None:
-        """Dial at once: a refusal tells a dead process from a cut."""
-        if self._members.wants_link(member):
+        """Dial at once: a refusal tells a dead process from a cut.
+
+        A router that stops leaves it: the new link would outlive it at its
+        peer until that notices the silence.
+        """
+        if not self._stopping and self._members.wants_link(member):
             self._start_dial(member)
 
     async def _write(self, link: Link, stream: typing.Any) -> None:
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -315,3 +315,37 @@
     for _ in range(12):
         office.ask()
     assert len(office.granted()) == 12
+
+
+def test_work_of_a_router_that_went_to_another_home_still_counts(
+    office: Office,
+) -> None:
+    for target in office.targets:
+        office.desk.note_report(target.name, 0)
+    held = [(n, f"engine-{n % 4}", "bakery", 1) for n in range(20)]
+    office.desk.attach("router-1", held)
+    office.later(ledger.REPORT_LAG_MS + 1)
+    for target in office.targets:
+        office.desk.note_report(target.name, 5)
+    office.standing = bound.Standing(True, False, 0)
+    office.desk.detach("router-1")
+    for _ in range(8):
+        office.ask()
+    # Five run on each target, which is above any bound for so few.
+    assert office.granted() == []
+
+
+def test_work_of_a_router_that_is_new_here_counts_once(
+    office: Office,
+) -> None:
+    for target in office.targets:
+        office.desk.note_report(target.name, 5)
+    held = [(n, f"engine-{n % 4}", "bakery", 1) for n in range(20)]
+    office.desk.attach("router-1", held)
+    seq = office.ask()
+    assert office.granted() == []
+    for target in office.targets:
+        office.desk.note_report(target.name, 5)
+    office.later(50)
+    # 1.25 times a mean of 21 / 4; with a mean of 41 / 4 it was 13 at once.
+    assert office.replies[seq].bound == 7
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import asyncio
+
 import pytest
 
 from bulrushdale import clock as clock_module
@@ -107,3 +109,40 @@
     good = own._credentials()
     clock.advance(links.AUTH_WINDOW_MS + 1)
     assert not own._authentic(good)
+
+
+class OpenStream:
+    """A stream whose peer says hello and then nothing."""
+
+    def __init__(self) -> None:
+        self._frames = [hello()]
+
+    async def recv_message(self) -> pb.Frame:
+        if self._frames:
+            return self._frames.pop()
+        await asyncio.Event().wait()
+        raise AssertionError
+
+    async def send_message(self, frame: pb.Frame) -> None:
+        """Take a frame."""
+
+
+async def test_link_whose_end_is_cancelled_twice_is_lost(own) -> None:
+    """The server cancels a call for its stream and for its connection."""
+    call = asyncio.create_task(own._run(OpenStream()))
+    await asyncio.sleep(0.01)
+    assert own.get("router-1") is not None
+    call.cancel()
+    await asyncio.sleep(0)
+    call.cancel()
+    await asyncio.wait([call])
+    assert own.get("router-1") is None
+
+
+async def test_stopping_router_does_not_dial_again(own) -> None:
+    own._members.ensure("router-1", "mid-a").link_address = "127.0.0.1:1"
+    call = asyncio.create_task(own._run(OpenStream()))
+    await asyncio.sleep(0.01)
+    await own.stop()
+    await asyncio.wait([call])
+    assert not own._dialling
