Give a peer everything if it is behind the start of a copy

The new reader's copy began behind the removal and so couldn't tell of it; four routers that read from it used the target for 4 s more.

A copy now knows from which offset on it can tell of dropped keys, and gives all it has to a peer that is behind that.

--- a/src/bulrushdale/forwarding/feed.py
+++ b/src/bulrushdale/forwarding/feed.py
@@ -66,6 +66,7 @@
         "_changed",
         "_clock",
         "_records",
+        "_drops_from",
         "next_offset",
         "confirmed_ms",
         "away",
@@ -90,6 +91,8 @@
         self._count_read = count_read
         self._clock = clock
         self._records: dict[str, records.KeyedRecord] = {}
+        # Of keys that were dropped before this offset nothing may be known.
+        self._drops_from = 0
         self.next_offset: int | None = None
         self.confirmed_ms: int | None = None
         self.away = False
@@ -103,6 +106,7 @@
         """
         if page.snapshot:
             self._drop_missing(page)
+            self._drops_from = max(self._drops_from, page.next_offset)
         changed = {record.key: record for record in page.records}
         for record in changed.values():
             self._put(record)
@@ -146,7 +150,9 @@
         :param wait_ms: the longest wait, in ms.
         """
         changed = self._changed
-        if any(r.offset >= offset for r in self._records.values()):
+        if offset < self._drops_from or any(
+            r.offset >= offset for r in self._records.values()
+        ):
             return
         try:
             async with asyncio.timeout(wait_ms / 1000):
@@ -169,17 +175,23 @@
     def _forget_dropped(self) -> None:
         dropped = [k for k, r in self._records.items() if r.value is None]
         for key in dropped[: max(0, len(dropped) - MAX_DROPPED)]:
-            del self._records[key]
+            forgotten = self._records.pop(key)
+            self._drops_from = max(self._drops_from, forgotten.offset + 1)
 
     def since(self, offset: int | None) -> records.Page | None:
         """Return what a peer lacks; none if there is no copy yet.
 
+        A peer that is behind this copy's beginning gets everything: keys
+        that it knows may have been dropped in between.
+
         :param offset: where the peer would read on; none for everything.
         """
         if self.next_offset is None:
             return None
         if offset is not None and offset > self.next_offset:
             return records.Page([], offset, True, False)
+        if offset is not None and offset < self._drops_from:
+            offset = None
         found = [
             record
             for record in self._records.values()
