Spread short requests to the level that all targets will reach

Each router gave a request without a prefix to the target that looked least loaded. With fresh news it is the old rule.

--- a/src/bulrushdale/routing/placement.py
+++ b/src/bulrushdale/routing/placement.py
@@ -103,17 +103,44 @@
     return min(candidates, key=lambda candidate: candidate.load)
 
 
-def by_load(candidates: abc.Sequence[Candidate], spread: str) -> Candidate:
-    """Choose the least loaded target, a near one if that is as good.
+def by_level(
+    candidates: abc.Sequence[Candidate], unseen: float, spread: str
+) -> Candidate:
+    """Choose a target with room below the level that all will reach.
+
+    Answers to short requests that come to many routers faster than news of
+    load: the target that looks least loaded would get all of them until the
+    next news. The requests that are expected until then are poured over the
+    targets like water, and each router takes a share of what each target
+    gets; with fresh news that is the least loaded target.
 
     :param candidates: at least one.
-    :param spread: breaks ties differently for each request.
+    :param unseen: requests that other routers have placed since the news of
+        load, as far as expected.
+    :param spread: decides for each request differently.
     """
+    costs = [_cost(candidate) for candidate in candidates]
+    level = _level(costs, unseen + 1)
+    share = hashing.hash64(spread.encode()) / 2**64 * (unseen + 1)
+    for candidate, cost in zip(candidates, costs, strict=True):
+        share -= max(0.0, level - cost)
+        if share < 0:
+            return candidate
+    return min(candidates, key=_cost)
+
+
+def _cost(candidate: Candidate) -> float:
+    extra = 0.0 if candidate.local else REMOTE_EXTRA
+    extra += SLOW_START_EXTRA if candidate.slow else 0.0
+    return candidate.load + extra
 
-    def cost(candidate: Candidate) -> tuple[float, int]:
-        extra = 0.0 if candidate.local else REMOTE_EXTRA
-        extra += SLOW_START_EXTRA if candidate.slow else 0.0
-        tie = hashing.hash64((spread + candidate.target_id).encode())
-        return candidate.load + extra, tie
 
-    return min(candidates, key=cost)
+def _level(costs: abc.Sequence[float], amount: float) -> float:
+    """Return how high an amount fills up the gaps above some costs."""
+    total = amount
+    order = sorted(costs)
+    for count, cost in enumerate(order, start=1):
+        total += cost
+        if count == len(order) or total / count <= order[count]:
+            break
+    return total / count
--- a/src/bulrushdale/routing/selection.py
+++ b/src/bulrushdale/routing/selection.py
@@ -16,6 +16,12 @@
 
 LOG = logging.getLogger(__name__)
 
+# Chooses among candidates for a request that no prefix ties to a target,
+# knowing how many requests others have placed unseen, and the request's id.
+ByLoad = abc.Callable[
+    [abc.Sequence[placement.Candidate], float, str], placement.Candidate
+]
+
 
 class Selection:
     """Chooses targets from the list, health and load.
@@ -25,6 +31,7 @@
     :param peers: what other routers report.
     :param overrides: prefixes that live elsewhere than hashing puts them.
     :param clock: the clock.
+    :param by_load: chooses for requests that no prefix ties to a target.
     """
 
     __slots__ = (
@@ -33,6 +40,7 @@
         "_peers",
         "_overrides",
         "_clock",
+        "_by_load",
     )
 
     def __init__(
@@ -42,12 +50,14 @@
         peers: peers_module.Peers,
         overrides: overrides_module.Overrides,
         clock: clock_module.Clock,
+        by_load: ByLoad = placement.by_level,
     ) -> None:
         self._data_centre = data_centre
         self._targets = targets
         self._peers = peers
         self._overrides = overrides
         self._clock = clock
+        self._by_load = by_load
 
     def load(self, target: targets_module.Target) -> int:
         """Return the requests that all routers have at a target."""
@@ -88,9 +98,19 @@
         if route.by_prefix and call.prompt:
             found = self._by_prefix(call, service, candidates, loads)
         else:
-            found = placement.by_load(candidates, call.request_id)
+            found = self._by_load(
+                candidates, self._unseen(staying), call.request_id
+            )
         return self._targets.get(found.target_id)
 
+    def _unseen(self, staying: list[targets_module.Target]) -> float:
+        """Return how many requests to expect since the news of load."""
+        done = sum(
+            t.health.results().done + self._peers.results(t.target_id).done
+            for t in staying
+        )
+        return done / health.WINDOW_MS * self._peers.news_age_ms()
+
     def _by_prefix(
         self,
         call: calls.Call,
