--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -20,6 +20,7 @@
 from bulrushdale.routing import overrides
 from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import placement
+from bulrushdale.routing import reports
 from bulrushdale.routing import routes
 from bulrushdale.routing import selection
 from bulrushdale.routing import targets as targets_module
@@ -108,9 +109,9 @@
         )
         self.sequence = 0
 
-    def report(self) -> peers_module.Report:
+    def report(self) -> reports.Report:
         self.sequence += 1
-        return peers_module.Report(
+        return reports.Report(
             address=self.address,
             data_centre=self.data_centre,
             started_ms=1,
@@ -119,7 +120,7 @@
             whole_fleet=False,
             store_up_ms=0,
             targets={
-                t.target_id: peers_module.TargetReport(
+                t.target_id: reports.TargetReport(
                     t.in_flight, t.health.results()
                 )
                 for t in self.targets.all()
@@ -178,7 +179,7 @@
         for router in self._routers.values():
             for other in self._routers.values():
                 router.peers.introduce(
-                    other.address, peers_module.Member(other.data_centre, 0)
+                    other.address, reports.Member(other.data_centre, 0)
                 )
             for n, name in enumerate(self._servers):
                 centre = f"dc{n % self.load.data_centres}"
--- a/src/bulrushdale/daemon.py
+++ b/src/bulrushdale/daemon.py
@@ -293,7 +293,13 @@
             return
         try:
             version, listed = await parts.vm_list.read()
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            ValueError,
+        ) as error:
+            LOG.warning("the list of VMs can't be read: %r", error)
             return
         self._traffic.read_list(version, listed)
 
--- a/src/bulrushdale/forwarding/links.py
+++ b/src/bulrushdale/forwarding/links.py
@@ -24,6 +24,7 @@
 from bulrushdale.routing import health
 from bulrushdale.routing import overrides as overrides_module
 from bulrushdale.routing import peers as peers_module
+from bulrushdale.routing import reports
 
 LOG = logging.getLogger(__name__)
 
@@ -35,7 +36,7 @@
 MAX_WAIT_MS = 5_000
 
 
-def encode_report(report: peers_module.Report) -> bytes:
+def encode_report(report: reports.Report) -> bytes:
     """Return a report as a datagram holds it, compressed."""
     return _compress(
         [
@@ -68,7 +69,7 @@
     return zlib.compress(orjson.dumps(data), zlib.Z_BEST_SPEED)
 
 
-def decode_report(data: bytes) -> peers_module.Report:
+def decode_report(data: bytes) -> reports.Report:
     """Return the report that a datagram holds.
 
     :raises ValueError: if it holds none.
@@ -77,12 +78,12 @@
         fields = orjson.loads(zlib.decompress(data))
         parts, members, places, link_mbps = fields[7:]
         targets = {
-            target_id: peers_module.TargetReport(
+            target_id: reports.TargetReport(
                 in_flight, health.Results(done, failed)
             )
             for target_id, (in_flight, done, failed) in parts.items()
         }
-        return peers_module.Report(
+        return reports.Report(
             address=fields[0],
             data_centre=fields[1],
             started_ms=fields[2],
@@ -92,7 +93,7 @@
             store_up_ms=fields[6],
             targets=targets,
             members={
-                address: peers_module.Member(*member)
+                address: reports.Member(*member)
                 for address, member in members.items()
             },
             places=dict(places),
@@ -188,7 +189,7 @@
                 extra={"event": "link.bad_report", "reason": str(error)},
             )
 
-    def send(self, own: peers_module.Report) -> None:
+    def send(self, own: reports.Report) -> None:
         """Send load reports to the routers that are to have them.
 
         :param own: this router's own report.
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -11,7 +11,6 @@
 from bulrushdale.forwarding import events
 from bulrushdale.forwarding import metrics as metrics_module
 from bulrushdale.forwarding import parts as parts_module
-from bulrushdale import hashing
 from bulrushdale import results
 from bulrushdale.routing import access
 from bulrushdale.routing import calls
@@ -27,9 +26,6 @@
 MAX_OFFERS = 4
 # Where a caller names no deadline the route's timeout is the only one.
 NO_DEADLINE_MS = 3_600_000
-# Urgency at targets for priority 0; each rank after it is one less urgent.
-FIRST_URGENCY = 2
-LAST_URGENCY = 9
 
 
 class Exchange:
@@ -132,7 +128,13 @@
         :raises ConnectionResetError: if a stream that was begun can't be
             ended; the connection must be closed.
         """
-        self._refuse_if_full()
+        # Engines run what comes in batches, and need no slot free.
+        if not self._route.by_prefix:
+            overload.check(
+                self._parts.selection.demand(self._service),
+                self._route.target_time_ms,
+                self._call.request_id,
+            )
         self._parts.budget.note_request(self._service)
         while True:
             target = self._next_target()
@@ -145,25 +147,6 @@
             if response is not None:
                 return response
 
-    def _refuse_if_full(self) -> None:
-        """Turn the request away at once if it would be answered late.
-
-        :raises RefusedError: if so.
-        """
-        # Engines run what comes in batches, and need no slot free.
-        if self._route.by_prefix:
-            return
-        demand = self._parts.selection.demand(self._service)
-        chance = hashing.fraction(self._call.request_id)
-        if overload.refuses(demand, self._route.target_time_ms, chance):
-            wait_ms = int(demand.wait_ms())
-            raise refusals.refuse(
-                results.Code.QUEUE_FULL,
-                f"{demand.load} requests for {demand.slots} slots, "
-                f"answered after {wait_ms} ms",
-                wait_ms,
-            )
-
     def _next_target(self) -> targets_module.Target:
         """Return the next target to try, or end the request."""
         if self._left_ms() < timeouts.MIN_LEFT_MS:
@@ -285,17 +268,11 @@
         self, target: targets_module.Target, left_ms: int
     ) -> list[tuple[str, str]]:
         team = self._admitted.team
-        priority = self._route.priority
-        if team is not None and team.priority is not None:
-            priority = team.priority
-        urgency = None
-        if self._route.by_prefix:
-            urgency = min(LAST_URGENCY, FIRST_URGENCY + priority)
         return self._parts.wire.encode_call(
             self._call,
             target.target_id,
             team.name if team is not None else None,
-            urgency,
+            self._admitted.urgency,
             left_ms,
             self._splitter.last_id,
         )
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -32,6 +32,7 @@
 from bulrushdale.routing import budget as budget_module
 from bulrushdale.routing import overrides as overrides_module
 from bulrushdale.routing import peers as peers_module
+from bulrushdale.routing import reports
 from bulrushdale.routing import revisions as revisions_module
 from bulrushdale.routing import selection as selection_module
 from bulrushdale.routing import targets as targets_module
@@ -152,13 +153,13 @@
             for name, apply, confirm, meaning in (
                 (
                     "configuration",
-                    self._apply_configuration,
+                    configuration.apply_to(self._revisions),
                     self._revisions.confirm,
                     _as_it_is,
                 ),
                 (
                     "targets",
-                    self._apply_listing,
+                    listings.apply_to(self._targets),
                     self._note_listed,
                     listings.meaning,
                 ),
@@ -221,36 +222,6 @@
     def _note_listed(self, _: int) -> None:
         self._activity.listed.set()
 
-    def _apply_configuration(self, key: str, value: bytes | None) -> None:
-        if key != store_module.CONFIGURATION_KEY or value is None:
-            return
-        try:
-            self._revisions.take(configuration.decode(value))
-        except configuration.ConfigurationError as error:
-            LOG.error(
-                "configuration skipped",
-                extra={
-                    "event": "configuration.bad",
-                    "reason": str(error),
-                },
-            )
-
-    def _apply_listing(self, key: str, value: bytes | None) -> None:
-        if value is None:
-            self._targets.remove(key)
-            return
-        try:
-            self._targets.put(listings.decode(key, value))
-        except listings.ListingError as error:
-            LOG.warning(
-                "entry skipped",
-                extra={
-                    "event": "target.bad_entry",
-                    "target": key,
-                    "reason": str(error),
-                },
-            )
-
     def _jobs(self) -> list[abc.Coroutine[None, None, None]]:
         return [
             self._follow(
@@ -266,7 +237,7 @@
             registry.register(
                 self._store,
                 f"{self.settings.host}:{self.settings.link_port}",
-                peers_module.Member(
+                reports.Member(
                     self.settings.data_centre, self.settings.link_mbps
                 ),
                 self._clock,
@@ -316,11 +287,11 @@
         for target in self._targets.all():
             results = target.health.results()
             if target.in_flight or results.done:
-                parts[target.target_id] = peers_module.TargetReport(
+                parts[target.target_id] = reports.TargetReport(
                     target.in_flight, results
                 )
         self._links.send(
-            peers_module.Report(
+            reports.Report(
                 address=f"{self.settings.host}:{self.settings.link_port}",
                 data_centre=self.settings.data_centre,
                 started_ms=self._started_ms,
--- a/src/bulrushdale/platform/configuration.py
+++ b/src/bulrushdale/platform/configuration.py
@@ -1,11 +1,17 @@
 """Decodes the operators' configuration record."""
 
+from collections import abc
+import logging
 import typing
 
 import orjson
 
+from bulrushdale.platform import store
+from bulrushdale.routing import revisions as revisions_module
 from bulrushdale.routing import routes
 
+LOG = logging.getLogger(__name__)
+
 _KINDS = {
     "idempotent": routes.Kind.IDEMPOTENT,
     "non_idempotent": routes.Kind.NON_IDEMPOTENT,
@@ -95,3 +101,25 @@
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise ConfigurationError(repr(error)) from error
+
+
+def apply_to(
+    revisions: revisions_module.Revisions,
+) -> abc.Callable[[str, bytes | None], None]:
+    """Return what takes records over into the versions in force.
+
+    :param revisions: takes the configurations.
+    """
+
+    def apply(key: str, value: bytes | None) -> None:
+        if key != store.CONFIGURATION_KEY or value is None:
+            return
+        try:
+            revisions.take(decode(value))
+        except ConfigurationError as error:
+            LOG.error(
+                "configuration skipped",
+                extra={"event": "configuration.bad", "reason": str(error)},
+            )
+
+    return apply
--- a/src/bulrushdale/platform/listings.py
+++ b/src/bulrushdale/platform/listings.py
@@ -1,12 +1,16 @@
 """Decodes the entries that targets keep of themselves in the store."""
 
+from collections import abc
 import dataclasses
+import logging
 import typing
 
 import orjson
 
 from bulrushdale.routing import targets
 
+LOG = logging.getLogger(__name__)
+
 _STATE_LEAVING = "draining"
 _STATES = ("ready", _STATE_LEAVING)
 
@@ -76,3 +80,30 @@
         return value
     # It counts down with each heartbeat from what the first one said.
     return dataclasses.replace(listing, slow_start_ms=0)
+
+
+def apply_to(
+    known: targets.Targets,
+) -> abc.Callable[[str, bytes | None], None]:
+    """Return what takes entries over into the targets that are known.
+
+    :param known: takes the listings.
+    """
+
+    def apply(key: str, value: bytes | None) -> None:
+        if value is None:
+            known.remove(key)
+            return
+        try:
+            known.put(decode(key, value))
+        except ListingError as error:
+            LOG.warning(
+                "entry skipped",
+                extra={
+                    "event": "target.bad_entry",
+                    "target": key,
+                    "reason": str(error),
+                },
+            )
+
+    return apply
--- a/src/bulrushdale/platform/registry.py
+++ b/src/bulrushdale/platform/registry.py
@@ -8,6 +8,7 @@
 from bulrushdale.forwarding import records as records_module
 from bulrushdale.platform import store as store_module
 from bulrushdale.routing import peers as peers_module
+from bulrushdale.routing import reports
 
 LOG = logging.getLogger(__name__)
 
@@ -18,12 +19,12 @@
 RETRY_DELAY_MS = 1_000
 
 
-def encode_member(member: peers_module.Member) -> bytes:
+def encode_member(member: reports.Member) -> bytes:
     """Return an entry as the store keeps it."""
     return orjson.dumps([member.data_centre, member.link_mbps])
 
 
-def decode_member(value: bytes) -> peers_module.Member:
+def decode_member(value: bytes) -> reports.Member:
     """Return what an entry says of a router.
 
     :raises ValueError: if it is no entry.
@@ -34,7 +35,7 @@
     data_centre, link_mbps = fields
     if not isinstance(data_centre, str) or not isinstance(link_mbps, int):
         raise ValueError("fields of other types")
-    return peers_module.Member(data_centre, link_mbps)
+    return reports.Member(data_centre, link_mbps)
 
 
 async def follow(
@@ -83,7 +84,7 @@
 async def register(
     store: store_module.Store,
     address: str,
-    member: peers_module.Member,
+    member: reports.Member,
     clock: clock_module.Clock,
 ) -> None:
     """Tell the other routers where this one is; tries until it is done.
--- a/src/bulrushdale/routing/access.py
+++ b/src/bulrushdale/routing/access.py
@@ -12,6 +12,9 @@
 # doesn't exist; it asks the caller to come back. Twice the interval at which
 # the configuration is confirmed.
 CURRENT_MS = 3_000
+# Urgency at targets for priority 0; each rank after it is one less urgent.
+FIRST_URGENCY = 2
+LAST_URGENCY = 9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,6 +30,16 @@
     team: routes.Team | None
     version: int
 
+    @property
+    def urgency(self) -> int | None:
+        """Rank at a target that runs batches, 0 first; none elsewhere."""
+        if not self.route.by_prefix:
+            return None
+        priority = self.route.priority
+        if self.team is not None and self.team.priority is not None:
+            priority = self.team.priority
+        return min(LAST_URGENCY, FIRST_URGENCY + priority)
+
 
 def admit(
     call: calls.Call,
--- a/src/bulrushdale/routing/overload.py
+++ b/src/bulrushdale/routing/overload.py
@@ -12,6 +12,10 @@
 
 import dataclasses
 
+from bulrushdale import hashing
+from bulrushdale import results
+from bulrushdale.routing import refusals
+
 # From a wait of this part of the target time on some are turned away...
 FIRST_REFUSED = 0.8
 # ...and from this one on all. In the emulator answers in time grow from 0.71
@@ -79,3 +83,21 @@
     """
     part = demand.wait_ms() / target_time_ms
     return chance < (part - FIRST_REFUSED) / (ALL_REFUSED - FIRST_REFUSED)
+
+
+def check(demand: Demand, target_time_ms: float, request_id: str) -> None:
+    """Turn a request away at once if its answer would be late.
+
+    :param demand: how busy the service is.
+    :param target_time_ms: within which the answer should be there, in ms.
+    :param request_id: draws the request's chance.
+    :raises RefusedError: if it is turned away, with when to come back.
+    """
+    if refuses(demand, target_time_ms, hashing.fraction(request_id)):
+        wait_ms = int(demand.wait_ms())
+        raise refusals.refuse(
+            results.Code.QUEUE_FULL,
+            f"{demand.load} requests for {demand.slots} slots, "
+            f"answered after {wait_ms} ms",
+            wait_ms,
+        )
--- a/src/bulrushdale/routing/peers.py
+++ b/src/bulrushdale/routing/peers.py
@@ -10,11 +10,11 @@
 """
 
 from collections import abc
-import dataclasses
 
 from bulrushdale import clock as clock_module
 from bulrushdale import hashing
 from bulrushdale.routing import health
+from bulrushdale.routing import reports
 
 # A router reports its load this often; the fleet's level changes within a
 # second or so of a burst or the loss of a target.
@@ -30,8 +30,6 @@
 # One target in a compressed report: an id of five random bytes, and three
 # small numbers.
 TARGET_BYTES = 13
-# Targets in one report, so that it fits a datagram of 64 KiB.
-MAX_TARGETS = 2_000
 # A router that was silent for so long does not count as one of the fleet.
 MEMBER_LIFE_MS = 6_000
 # Up to this size all report to all: at four reports a second of some hundred
@@ -49,118 +47,12 @@
 LINK_SHARE = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Member:
-    """Where a router runs.
-
-    :param data_centre: its data centre; empty if that isn't known.
-    :param link_mbps: what its link carries, in Mbit/s; 0 if not known.
-    """
-
-    data_centre: str
-    link_mbps: int
-
-
-UNKNOWN = Member("", 0)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetReport:
-    """A part in a target's load and results.
-
-    :param in_flight: requests there.
-    :param results: results within the window of health.
-    """
-
-    in_flight: int
-    results: health.Results
-
-    def __add__(self, other: "TargetReport") -> "TargetReport":
-        return TargetReport(
-            self.in_flight + other.in_flight, self.results + other.results
-        )
-
-    def __sub__(self, other: "TargetReport") -> "TargetReport":
-        done = self.results.done - other.results.done
-        failed = self.results.failed - other.results.failed
-        return TargetReport(
-            max(0, self.in_flight - other.in_flight),
-            health.Results(max(0, done), max(0, failed)),
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Report:
-    """What one router says of itself, or a collector of several.
-
-    :param address: where its sender is reached.
-    :param data_centre: where its sender runs.
-    :param started_ms: tells two starts apart, in ms since the epoch.
-    :param sequence: grows with each report of one start.
-    :param routers: routers that it sums up; 1 for a router's own.
-    :param whole_fleet: whether it sums up all data centres.
-    :param store_up_ms: for how long the store has answered the sender, or
-        the one of the routers that saw it longest.
-    :param targets: their part in each target's load.
-    :param members: routers lately heard of, by address.
-    :param places: prefixes that live elsewhere than hashing puts them.
-    :param link_mbps: what the sender's link carries, in Mbit/s.
-    """
-
-    address: str
-    data_centre: str
-    started_ms: int
-    sequence: int
-    routers: int
-    whole_fleet: bool
-    store_up_ms: int
-    targets: abc.Mapping[str, TargetReport]
-    members: abc.Mapping[str, Member]
-    places: abc.Mapping[int, str]
-    link_mbps: int = 0
-
-
-def merge(own: Report, others: abc.Iterable[Report], whole: bool) -> Report:
-    """Return one report that sums several up.
-
-    :param own: the collector's own; gives the sender.
-    :param others: further ones.
-    :param whole: whether they cover the whole fleet.
-    """
-    targets = dict(own.targets)
-    places = dict(own.places)
-    routers, store_up_ms = own.routers, own.store_up_ms
-    for report in others:
-        routers += report.routers
-        store_up_ms = max(store_up_ms, report.store_up_ms)
-        places.update(report.places)
-        for target_id, part in report.targets.items():
-            known = targets.get(target_id)
-            targets[target_id] = part if known is None else known + part
-    return dataclasses.replace(
-        own,
-        routers=routers,
-        whole_fleet=whole,
-        store_up_ms=store_up_ms,
-        targets=_busiest(targets),
-        places=places,
-    )
-
-
-def _sending_ms(sums: abc.Collection[tuple[str, Report]]) -> int:
+def _sending_ms(sums: abc.Collection[tuple[str, reports.Report]]) -> int:
     """Return the time over which a collector's sums have to be spread."""
     size_bytes = sum(len(r.targets) * TARGET_BYTES for _, r in sums)
     return size_bytes * 1000 // SUM_BYTES_PER_S
 
 
-def _busiest(
-    targets: abc.Mapping[str, TargetReport],
-) -> dict[str, TargetReport]:
-    """Return as many targets as a report holds, the busiest ones first."""
-    order = sorted(targets, key=lambda name: -targets[name].in_flight)
-    return {name: targets[name] for name in order[:MAX_TARGETS]}
-
-
 class _Peer:
     """Another router.
 
@@ -187,7 +79,7 @@
         self.heard_ms: int | None = None
         self.asked_ms: int | None = None
         self.passed_over_ms: int | None = None
-        self.report: Report | None = None
+        self.report: reports.Report | None = None
 
 
 class Peers:
@@ -221,10 +113,12 @@
         self._link_mbps = link_mbps
         self._clock = clock
         self._peers: dict[str, _Peer] = {}
-        self._told: abc.Mapping[str, TargetReport] = {}
+        self._told: abc.Mapping[str, reports.TargetReport] = {}
         self._next_sums_ms = 0
 
-    def introduce(self, address: str, member: Member = UNKNOWN) -> None:
+    def introduce(
+        self, address: str, member: reports.Member = reports.UNKNOWN
+    ) -> None:
         """Add an address at which a router may be.
 
         :param address: IP and port.
@@ -236,7 +130,7 @@
         peer.data_centre = member.data_centre or peer.data_centre
         peer.link_mbps = member.link_mbps or peer.link_mbps
 
-    def take(self, report: Report) -> bool:
+    def take(self, report: reports.Report) -> bool:
         """Take over a report unless a newer one was taken.
 
         :return: whether it was taken.
@@ -244,7 +138,8 @@
         if report.address == self._own_address:
             return False
         self.introduce(
-            report.address, Member(report.data_centre, report.link_mbps)
+            report.address,
+            reports.Member(report.data_centre, report.link_mbps),
         )
         peer = self._peers[report.address]
         place = (report.started_ms, report.sequence)
@@ -260,7 +155,7 @@
             self.introduce(address, member)
         return True
 
-    def _fresh(self, life_ms: int) -> abc.Iterator[Report]:
+    def _fresh(self, life_ms: int) -> abc.Iterator[reports.Report]:
         oldest_ms = self._clock.now_ms() - life_ms
         for peer in self._peers.values():
             if peer.report is not None and (peer.heard_ms or 0) >= oldest_ms:
@@ -313,7 +208,7 @@
         if peer is not None:
             peer.passed_over_ms = self._clock.now_ms()
 
-    def _reporting(self) -> list[Report]:
+    def _reporting(self) -> list[reports.Report]:
         """Return the reports that routers of this data centre sent here."""
         return [
             report
@@ -321,7 +216,9 @@
             if report.data_centre == self._data_centre and report.routers == 1
         ]
 
-    def outgoing(self, own: Report) -> list[tuple[str, Report]]:
+    def outgoing(
+        self, own: reports.Report
+    ) -> list[tuple[str, reports.Report]]:
         """Return what to send to whom now.
 
         :param own: this router's own report.
@@ -350,17 +247,17 @@
         return sent
 
     def _sums(
-        self, own: Report, reporting: list[Report]
-    ) -> list[tuple[str, Report]]:
+        self, own: reports.Report, reporting: list[reports.Report]
+    ) -> list[tuple[str, reports.Report]]:
         """Return a collector's sums for its routers and its like."""
-        here = merge(own, reporting, whole=False)
-        elsewhere: dict[str, Report] = {}
+        here = reports.merge(own, reporting, whole=False)
+        elsewhere: dict[str, reports.Report] = {}
         for report in self._fresh(SUM_LIFE_MS):
             if report.data_centre != self._data_centre:
                 known = elsewhere.get(report.data_centre)
                 if known is None or known.routers < report.routers:
                     elsewhere[report.data_centre] = report
-        whole = merge(here, elsewhere.values(), whole=True)
+        whole = reports.merge(here, elsewhere.values(), whole=True)
         sent = [(report.address, whole) for report in reporting]
         centres = {peer.data_centre for peer in self._peers.values()}
         for data_centre in centres - {self._data_centre, ""}:
@@ -369,22 +266,22 @@
                 sent.append((collector, here))
         return sent
 
-    def _whole(self) -> Report | None:
+    def _whole(self) -> reports.Report | None:
         """Return the newest sum over the fleet that a collector told."""
         told = [
             report for report in self._fresh(SUM_LIFE_MS) if report.whole_fleet
         ]
         return max(told, key=lambda report: report.routers, default=None)
 
-    def _sources(self) -> list[Report]:
+    def _sources(self) -> list[reports.Report]:
         whole = self._whole()
         if whole is not None and not self._reporting():
             return [whole]
         return [r for r in self._fresh(REPORT_LIFE_MS) if not r.whole_fleet]
 
-    def _part(self, target_id: str) -> TargetReport:
+    def _part(self, target_id: str) -> reports.TargetReport:
         """Return the other routers' part in a target's load."""
-        total = TargetReport(0, health.Results(0, 0))
+        total = reports.TargetReport(0, health.Results(0, 0))
         for report in self._sources():
             if target_id in report.targets:
                 total += report.targets[target_id]
@@ -417,10 +314,10 @@
         """Return the addresses of the routers heard of lately."""
         return [r.address for r in self._fresh(MEMBER_LIFE_MS)]
 
-    def members(self) -> dict[str, Member]:
+    def members(self) -> dict[str, reports.Member]:
         """Return the routers heard of lately, by address."""
         return {
-            r.address: Member(r.data_centre, r.link_mbps)
+            r.address: reports.Member(r.data_centre, r.link_mbps)
             for r in self._fresh(MEMBER_LIFE_MS)
         }
 
--- a/src/bulrushdale/routing/targets.py
+++ b/src/bulrushdale/routing/targets.py
@@ -16,6 +16,10 @@
 # and those of a target that is gone are known as such for as long. Longer
 # than prefixes are remembered elsewhere, which then keeps those in use.
 SETTLE_MS = 12_000
+# A start that said that it leaves is remembered for so long, as a late
+# heartbeat of it may arrive behind the entry of the next start; minutes are
+# far more than any grace period.
+LEFT_MEMORY_MS = 600_000
 # Targets that a router finds so soon after the first one were there before.
 STARTING_MS = 5_000
 
@@ -107,6 +111,7 @@
         "_targets",
         "_by_service",
         "_gone_ms",
+        "_left_ms",
         "_away_until_ms",
         "_first_ms",
     )
@@ -116,11 +121,17 @@
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, dict[str, Target]] = {}
         self._gone_ms: dict[str, dict[str, int]] = {}
+        self._left_ms: dict[tuple[str, int], int] = {}
         self._first_ms: int | None = None
         self._away_until_ms = 0
 
     def put(self, listing: Listing) -> None:
         """Take over an entry of the list."""
+        start = (listing.target_id, listing.born_ms)
+        if listing.leaving:
+            self._left_ms[start] = self._clock.now_ms()
+        elif start in self._left_ms:
+            listing = dataclasses.replace(listing, leaving=True)
         known = self._targets.get(listing.target_id)
         if known is None or known.listing.born_ms != listing.born_ms:
             if known is not None:
@@ -197,6 +208,10 @@
         """
         if store_up_ms >= LAPSE_GRACE_MS:
             self._away_until_ms = 0
+        oldest_ms = self._clock.now_ms() - LEFT_MEMORY_MS
+        for start, left_ms in list(self._left_ms.items()):
+            if left_ms < oldest_ms:
+                del self._left_ms[start]
         if self._clock.now_ms() < self._away_until_ms:
             return
         for target in list(self._targets.values()):
--- a/src/bulrushdale/web/callers.py
+++ b/src/bulrushdale/web/callers.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections import abc
 import contextlib
-import dataclasses
 import hashlib
 import logging
 import typing
@@ -12,11 +11,11 @@
 from aiohttp import web
 from opentelemetry import trace
 
-from bulrushdale.catalogue import entries
 from bulrushdale import explain
 from bulrushdale import parts as parts_module
 from bulrushdale import results
 from bulrushdale import telemetry
+from bulrushdale.web import caller as caller_module
 from bulrushdale.web import chats
 from bulrushdale.web import respond
 from bulrushdale.web import services
@@ -27,24 +26,8 @@
 FULL_RETRY_MS = 1_000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Caller:
-    """Who sent a request.
-
-    :param request_id: the request's id.
-    :param team: the team's name.
-    :param spec: the team's entry.
-    :param story: what happens to the request.
-    """
-
-    request_id: str
-    team: str
-    spec: entries.Team
-    story: explain.Story
-
-
 Handler = typing.Callable[
-    [parts_module.Parts, web.Request, Caller],
+    [parts_module.Parts, web.Request, caller_module.Caller],
     abc.Awaitable[web.StreamResponse],
 ]
 
@@ -148,7 +131,7 @@
 
 def _authenticate(
     parts: parts_module.Parts, request: web.Request, story: explain.Story
-) -> Caller:
+) -> caller_module.Caller:
     limits = parts.settings.limits
     if parts.activity.requests > limits.requests:
         raise results.refuse(
@@ -172,4 +155,4 @@
     name, team = found
     story.team = name
     story.step("accepted", f"team {name}, {request.method} {request.path}")
-    return Caller(story.request_id, name, team, story)
+    return caller_module.Caller(story.request_id, name, team, story)
--- a/src/bulrushdale/web/calls.py
+++ b/src/bulrushdale/web/calls.py
@@ -1,7 +1,6 @@
 """One call of a service's target."""
 
 import dataclasses
-import typing
 
 import aiohttp
 from aiohttp import web
@@ -11,9 +10,8 @@
 from bulrushdale.claims import ledger
 from bulrushdale import hashing
 from bulrushdale import parts as parts_module
+from bulrushdale.web import caller as caller_module
 
-if typing.TYPE_CHECKING:
-    from bulrushdale.web import callers
 
 CONNECT_TIMEOUT_MS = 1_000
 NOT_CONNECTED = (
@@ -96,7 +94,7 @@
 
 async def acquire(
     parts: parts_module.Parts,
-    caller: "callers.Caller",
+    caller: caller_module.Caller,
     need: seat_module.Need,
     failed: tuple[str, ...],
 ) -> seat_module.Grant:
@@ -112,7 +110,7 @@
 
 
 def response(
-    caller: "callers.Caller",
+    caller: caller_module.Caller,
     outcome: ledger.Outcome,
     replayed: bool = False,
 ) -> web.Response:
--- a/src/bulrushdale/web/chats.py
+++ b/src/bulrushdale/web/chats.py
@@ -4,7 +4,6 @@
 from collections import abc
 import dataclasses
 import logging
-import typing
 
 from aiohttp import web
 import orjson
@@ -17,10 +16,9 @@
 from bulrushdale import parts as parts_module
 from bulrushdale import results
 from bulrushdale import telemetry
+from bulrushdale.web import caller as caller_module
 from bulrushdale.web import respond
 
-if typing.TYPE_CHECKING:
-    from bulrushdale.web import callers
 
 LOG = logging.getLogger(__name__)
 
@@ -58,7 +56,7 @@
 
 
 async def models(
-    parts: parts_module.Parts, _: web.Request, __: "callers.Caller"
+    parts: parts_module.Parts, _: web.Request, __: caller_module.Caller
 ) -> web.Response:
     """Serve ``GET /v1/models``."""
     data = [
@@ -74,7 +72,9 @@
 
 
 async def complete(
-    parts: parts_module.Parts, request: web.Request, caller: "callers.Caller"
+    parts: parts_module.Parts,
+    request: web.Request,
+    caller: caller_module.Caller,
 ) -> web.StreamResponse:
     """Serve ``POST /v1/chat/completions``."""
     if "Last-Event-ID" in request.headers:
@@ -98,7 +98,9 @@
 
 
 async def resume(
-    parts: parts_module.Parts, request: web.Request, caller: "callers.Caller"
+    parts: parts_module.Parts,
+    request: web.Request,
+    caller: caller_module.Caller,
 ) -> web.StreamResponse:
     """Serve the rest of an answer behind ``Last-Event-ID``."""
     frame_id = request.headers.get("Last-Event-ID", "")
@@ -137,7 +139,9 @@
 
 
 def _need(
-    parts: parts_module.Parts, caller: "callers.Caller", call: chat.ChatCall
+    parts: parts_module.Parts,
+    caller: caller_module.Caller,
+    call: chat.ChatCall,
 ) -> tuple[seat_module.Need, int]:
     """Return what slot the call needs, and its priority at the engine."""
     pool = parts.view.pool_of_model(call.model)
@@ -167,7 +171,7 @@
 
 async def _open(
     parts: parts_module.Parts,
-    caller: "callers.Caller",
+    caller: caller_module.Caller,
     need: seat_module.Need,
     body: bytes,
 ) -> Answer:
@@ -200,7 +204,7 @@
 
 async def _acquire(
     parts: parts_module.Parts,
-    caller: "callers.Caller",
+    caller: caller_module.Caller,
     need: seat_module.Need,
     failed: tuple[str, ...],
 ) -> seat_module.Grant:
@@ -217,7 +221,7 @@
 
 async def _start(
     parts: parts_module.Parts,
-    caller: "callers.Caller",
+    caller: caller_module.Caller,
     need: seat_module.Need,
     grant: seat_module.Grant,
     body: bytes,
@@ -256,7 +260,7 @@
 
 
 def _close(
-    parts: parts_module.Parts, caller: "callers.Caller", answer: Answer
+    parts: parts_module.Parts, caller: caller_module.Caller, answer: Answer
 ) -> None:
     """Give back the slot, and the engine's stream if it goes on."""
     counts = answer.source.counts
@@ -278,7 +282,7 @@
 async def _stream(
     parts: parts_module.Parts,
     request: web.Request,
-    caller: "callers.Caller",
+    caller: caller_module.Caller,
     answer: Answer,
 ) -> web.StreamResponse:
     """Relay an answer as events; it ends with its end mark or an error."""
@@ -326,7 +330,7 @@
     await response.write(b"".join(pieces))
 
 
-def _error_event(caller: "callers.Caller", error: Exception) -> bytes:
+def _error_event(caller: caller_module.Caller, error: Exception) -> bytes:
     refusal = results.Refusal(
         results.Code.ANSWER_CUT, f"the answer is not whole: {error}"
     )
@@ -336,7 +340,7 @@
 
 
 async def _whole(
-    parts: parts_module.Parts, caller: "callers.Caller", answer: Answer
+    parts: parts_module.Parts, caller: caller_module.Caller, answer: Answer
 ) -> web.Response:
     """Collect an answer and send it as one completion."""
     whole = chat.Whole()
--- a/src/bulrushdale/web/once.py
+++ b/src/bulrushdale/web/once.py
@@ -1,7 +1,5 @@
 """Calls that run at most once for their key."""
 
-import typing
-
 from aiohttp import web
 
 from bulrushdale.admission import seat as seat_module
@@ -10,10 +8,9 @@
 from bulrushdale.claims import ledger
 from bulrushdale import parts as parts_module
 from bulrushdale import results
+from bulrushdale.web import caller as caller_module
 from bulrushdale.web import calls
 
-if typing.TYPE_CHECKING:
-    from bulrushdale.web import callers
 
 TRIES = 3
 COME_BACK_MS = 2_000
@@ -35,7 +32,7 @@
 
 async def run(
     parts: parts_module.Parts,
-    caller: "callers.Caller",
+    caller: caller_module.Caller,
     need: seat_module.Need,
     one_call: calls.Call,
     key: keys.Key,
@@ -61,7 +58,7 @@
 
 async def _without_slot(
     parts: parts_module.Parts,
-    caller: "callers.Caller",
+    caller: caller_module.Caller,
     one_call: calls.Call,
     key: keys.Key,
     error: results.RefusedError,
@@ -101,7 +98,7 @@
 
 async def _call(
     parts: parts_module.Parts,
-    caller: "callers.Caller",
+    caller: caller_module.Caller,
     need: seat_module.Need,
     one_call: calls.Call,
     claim: holder_module.Claim,
@@ -151,7 +148,7 @@
 
 async def _stand_aside(
     parts: parts_module.Parts,
-    caller: "callers.Caller",
+    caller: caller_module.Caller,
     one_call: calls.Call,
     claim: holder_module.Claim,
     decision: holder_module.Decision,
--- a/src/bulrushdale/web/services.py
+++ b/src/bulrushdale/web/services.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import typing
 
 from aiohttp import web
 
@@ -12,12 +11,11 @@
 from bulrushdale import hashing
 from bulrushdale import parts as parts_module
 from bulrushdale import results
+from bulrushdale.web import caller as caller_module
 from bulrushdale.web import calls
 from bulrushdale.web import once
 from bulrushdale.web import respond
 
-if typing.TYPE_CHECKING:
-    from bulrushdale.web import callers
 
 LOG = logging.getLogger(__name__)
 
@@ -44,7 +42,9 @@
 
 
 async def call(
-    parts: parts_module.Parts, request: web.Request, caller: "callers.Caller"
+    parts: parts_module.Parts,
+    request: web.Request,
+    caller: caller_module.Caller,
 ) -> web.StreamResponse:
     """Serve ``/services/NAME/...``."""
     name = request.match_info["service"]
@@ -86,7 +86,7 @@
 
 
 def _passed_on(
-    request: web.Request, caller: "callers.Caller"
+    request: web.Request, caller: caller_module.Caller
 ) -> dict[str, str]:
     named = request.headers.get("Connection", "").lower().split(",")
     dropped = DROPPED_HEADERS.union(name.strip() for name in named)
@@ -101,7 +101,9 @@
 
 
 def _need(
-    parts: parts_module.Parts, caller: "callers.Caller", one_call: calls.Call
+    parts: parts_module.Parts,
+    caller: caller_module.Caller,
+    one_call: calls.Call,
 ) -> seat_module.Need:
     name = caller.spec.class_of_service
     paid = parts.view.service_class(name)
@@ -118,7 +120,7 @@
 
 def _check_key(
     parts: parts_module.Parts,
-    caller: "callers.Caller",
+    caller: caller_module.Caller,
     service: str,
     text: str,
 ) -> keys.Key:
@@ -131,7 +133,7 @@
 
 async def _repeatable(
     parts: parts_module.Parts,
-    caller: "callers.Caller",
+    caller: caller_module.Caller,
     need: seat_module.Need,
     one_call: calls.Call,
 ) -> ledger.Outcome:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,6 +11,7 @@
 from bulrushdale.forwarding import records
 from bulrushdale.routing import health
 from bulrushdale.routing import peers as peers_module
+from bulrushdale.routing import reports
 
 OWN = "10.0.0.1:7"
 
@@ -25,12 +26,12 @@
         "whole_fleet": False,
         "store_up_ms": 0,
         "targets": {
-            "t1": peers_module.TargetReport(in_flight, health.Results(4, 1))
+            "t1": reports.TargetReport(in_flight, health.Results(4, 1))
         },
         "members": {},
         "places": {},
     }
-    return peers_module.Report(**{**fields, **changes})
+    return reports.Report(**{**fields, **changes})
 
 
 @pytest.fixture
@@ -65,7 +66,7 @@
 def test_datagrams_keep_reports_as_they_are():
     report = make_report(
         "10.0.0.2:7",
-        members={"10.0.0.3:7": peers_module.Member("dc2", 100)},
+        members={"10.0.0.3:7": reports.Member("dc2", 100)},
         places={(1 << 63) + 5: "t1"},
     )
     assert links.decode_report(links.encode_report(report)) == report
@@ -101,7 +102,7 @@
         self.centres = addresses
         for peers in self.peers.values():
             for address, centre in addresses.items():
-                peers.introduce(address, peers_module.Member(centre, 0))
+                peers.introduce(address, reports.Member(centre, 0))
 
     def step(self):
         self.sequence += 1
@@ -155,7 +156,7 @@
     # As random as real ones, or they would compress to almost nothing.
     some = random.Random(1)
     many = {
-        f"i-{some.randrange(16**10):010x}": peers_module.TargetReport(
+        f"i-{some.randrange(16**10):010x}": reports.TargetReport(
             some.randrange(30), health.Results(some.randrange(99), 1)
         )
         for _ in range(200)
@@ -177,13 +178,13 @@
     own = make_report(OWN, targets={})
     some = random.Random(1)
     many = {
-        f"i-{n:04x}{some.randrange(16**6):06x}": peers_module.TargetReport(
+        f"i-{n:04x}{some.randrange(16**6):06x}": reports.TargetReport(
             n, health.Results(some.randrange(99), 9)
         )
         for n in range(5_000)
     }
     others = [make_report("10.0.0.2:7", targets=many)]
-    whole = peers_module.merge(own, others, whole=True)
+    whole = reports.merge(own, others, whole=True)
     assert len(links.encode_report(whole)) < 65_507
     assert list(many)[-1] in whole.targets
 
@@ -225,7 +226,7 @@
     for own, own_mbps in links_mbps.items():
         peers = peers_module.Peers(own, "dc1", own_mbps, clock)
         for address, mbps in links_mbps.items():
-            peers.introduce(address, peers_module.Member("dc1", mbps))
+            peers.introduce(address, reports.Member("dc1", mbps))
         chosen.add(peers.collector() or own)
     assert len(chosen) == 1
     assert links_mbps[chosen.pop()] >= 50
