Tell prefixes and waits in logs and metrics; an emulated comparison of rules

- request.placed names the prefix and its shared tokens, which decided the target.
- Metrics: expected wait and retries left, by service.
- python -m bench emulate plays rules of placing and refusing side by side.
- A request that may not be repeated runs at most once, whatever outcomes its targets have (hypothesis; it fails if repeats are allowed).

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,6 +6,7 @@
 from bench import fleet
 from bench import pages
 from bench import placement
+from bench import queueing
 from bench import state
 
 
@@ -57,6 +58,12 @@
     fleet.run_machine()
 
 
+@main.command("emulate")
+def run_emulate() -> None:
+    """Compare rules of placing and refusing in an emulated service."""
+    queueing.run()
+
+
 @main.command("capacity")
 def run_capacity() -> None:
     """Write docs/CAPACITY.md from the newest results."""
--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -226,7 +226,7 @@
 
     def _ask(self, router: _Router) -> None:
         self.outcome.asked += 1
-        call = _call(f"q{self.outcome.asked}")
+        call = make_call(f"q{self.outcome.asked}")
         demand = router.selection.demand(SERVICE)
         chance = hashing.fraction(call.request_id)
         if self._refuses(demand, self.load.target_ms, chance):
@@ -300,7 +300,8 @@
 )
 
 
-def _call(request_id: str) -> calls.Call:
+def make_call(request_id: str) -> calls.Call:
+    """Return a request for the service."""
     return calls.Call(
         request_id=request_id,
         method="POST",
--- a/src/bulrushdale/forwarding/gauges.py
+++ b/src/bulrushdale/forwarding/gauges.py
@@ -5,7 +5,9 @@
 from bulrushdale.forwarding import callers
 from bulrushdale.forwarding import feed as feed_module
 from bulrushdale.forwarding import metrics as metrics_module
+from bulrushdale.routing import budget as budget_module
 from bulrushdale.routing import peers as peers_module
+from bulrushdale.routing import selection as selection_module
 from bulrushdale.routing import targets as targets_module
 
 TARGET_STATES = ("good", "leaving", "unreachable", "ejected")
@@ -17,6 +19,8 @@
     targets: targets_module.Targets,
     activity: callers.Activity,
     peers: peers_module.Peers,
+    selection: selection_module.Selection,
+    budget: budget_module.RetryBudget,
 ) -> None:
     """Export the state of a router's parts."""
 
@@ -30,6 +34,15 @@
             counts[target.state] += 1
         return counts
 
+    def services() -> set[str]:
+        return {target.listing.service for target in targets.all()}
+
+    def waits() -> dict[str, float]:
+        return {name: selection.demand(name).wait_ms() for name in services()}
+
+    def retries() -> dict[str, float]:
+        return {name: budget.left(name, peers.count()) for name in services()}
+
     gauge = metrics.gauge
     gauge(
         "copy_age_ms",
@@ -50,3 +63,15 @@
         lambda: {"live": peers.count()},
         "state",
     )
+    gauge(
+        "expected_wait_ms",
+        "Time until a new request would be answered; 0 while slots are free.",
+        waits,
+        "service",
+    )
+    gauge(
+        "retries_left",
+        "Retries that this router may make now.",
+        retries,
+        "service",
+    )
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -172,6 +172,8 @@
             load=self._parts.selection.load(target),
             offers=self._offers,
             version=self._admitted.version,
+            prefix=self._call.affinity,
+            shared_tokens=self._call.shared_tokens,
             resume_after=self._splitter.last_id,
         )
         return target
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -214,6 +214,8 @@
             self._targets,
             self._activity,
             self._peers,
+            self._parts.selection,
+            self._parts.budget,
         )
 
     def _count_read(self, feed: str, outcome: str) -> None:
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,126 @@
+"""A request that may not be repeated runs at most once, whatever happens."""
+
+import asyncio
+import contextlib
+import types
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from bench import emulator
+from bulrushdale import clock as clock_module
+from bulrushdale.forwarding import attempt
+from bulrushdale.forwarding import metrics as metrics_module
+from bulrushdale.forwarding import parts as parts_module
+from bulrushdale.forwarding import proxy
+from bulrushdale import results
+from bulrushdale.routing import access
+from bulrushdale.routing import budget as budget_module
+from bulrushdale.routing import calls
+from bulrushdale.routing import overrides
+from bulrushdale.routing import peers as peers_module
+from bulrushdale.routing import selection
+from bulrushdale.routing import targets as targets_module
+
+OUTCOMES = st.lists(
+    st.sampled_from(
+        ["not sent", "rejected", "moved", "unknown", "failed", "good"]
+    ),
+    min_size=8,
+    max_size=8,
+)
+METRICS = metrics_module.Metrics()
+
+
+class Prober:
+    """Waits without limits, and knows of no cut."""
+
+    def watch(self, *_):
+        return contextlib.nullcontext()
+
+    def note_unreachable(self, target):
+        target.health.unreachable = True
+
+
+class Response:
+    """An answer that can be closed."""
+
+    async def read(self):
+        return b"done"
+
+    def close(self):
+        pass
+
+
+def make_outcome(name):
+    if name == "not sent":
+        return attempt.NotRun("no connection", sent=False)
+    if name in ("rejected", "moved"):
+        return attempt.NotRun(name, sent=True, moved=name == "moved")
+    if name == "unknown":
+        return attempt.Unknown("no answer")
+    status = 500 if name == "failed" else 200
+    head = calls.AnswerHead(status, (), "q1", True, False, False, False)
+    return attempt.Opened(head, Response())
+
+
+def make_exchange(monkeypatch, outcomes, runs):
+    clock = clock_module.ManualClock()
+    targets = targets_module.Targets(clock)
+    for number in range(6):
+        targets.put(
+            targets_module.Listing(
+                f"t{number}", 1, emulator.SERVICE, "a:1", "dc0", 4, False, 0
+            )
+        )
+    peers = peers_module.Peers("10.0.0.1:1", "dc0", 0, clock)
+    remaining = iter(outcomes)
+
+    async def open_answer(*_):
+        outcome = make_outcome(next(remaining))
+        if not isinstance(outcome, attempt.NotRun):
+            runs.append(outcome)
+        return outcome
+
+    monkeypatch.setattr(attempt, "open_answer", open_answer)
+    parts = parts_module.Parts(
+        clock=clock,
+        wire=types.SimpleNamespace(
+            encode_call=lambda *_: [], decode_answer=None
+        ),
+        session=None,
+        once_session=None,
+        revisions=None,
+        targets=targets,
+        peers=peers,
+        selection=selection.Selection(
+            "dc0", targets, peers, overrides.Overrides(clock), clock
+        ),
+        budget=budget_module.RetryBudget(clock, 0.2, 100, 10_000),
+        key_age_limit_ms=None,
+        draining=lambda: False,
+        metrics=METRICS,
+        prober=Prober(),
+    )
+    call = emulator.make_call("q1")
+    admitted = access.Admitted(emulator.ROUTE, None, 1)
+    return proxy.Exchange(parts, None, call, admitted, clock.now_ms())
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(outcomes=OUTCOMES)
+def test_order_runs_at_most_once_and_not_run_is_true(outcomes):
+    runs = []
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        exchange = make_exchange(monkeypatch, outcomes, runs)
+        try:
+            status = asyncio.run(exchange.run()).status
+        except results.RefusedError as error:
+            status = results.MEANINGS[error.refusal.code].status
+    assert len(runs) <= 1
+    if status == 503:
+        assert not runs
+    if status == 200:
+        assert len(runs) == 1
