--- a/src/bulrushdale/daemon.py
+++ b/src/bulrushdale/daemon.py
@@ -36,6 +36,8 @@
 
 LOG = logging.getLogger(__name__)
 
+Job = typing.Callable[[], typing.Awaitable[None]]
+
 SEATS_INTERVAL_MS = 100
 # While requests wait for slots, desks look this often for room.
 DESKS_INTERVAL_MS = 20
@@ -181,9 +183,7 @@
         )
         LOG.info("router started")
 
-    def _jobs(
-        self,
-    ) -> list[tuple[int, typing.Callable[[], typing.Awaitable[None]]]]:
+    def _jobs(self) -> list[tuple[int, Job]]:
         poll_ms = self.settings.platform.poll_interval_ms
         return [
             (poll_ms, self._follow_log),
@@ -194,11 +194,7 @@
             (RETIRE_INTERVAL_MS, self._parts.holder.retire),
         ]
 
-    async def _every(
-        self,
-        interval_ms: int,
-        job: typing.Callable[[], typing.Awaitable[None]],
-    ) -> None:
+    async def _every(self, interval_ms: int, job: Job) -> None:
         while True:
             try:
                 await job()
@@ -217,19 +213,14 @@
         )
         await runner.setup()
         site = web.TCPSite(
-            runner, self.settings.listen.host, port, ssl_context=self._tls()
+            runner,
+            self.settings.listen.host,
+            port,
+            ssl_context=_tls(self.settings.tls),
         )
         await site.start()
         return runner
 
-    def _tls(self) -> ssl.SSLContext | None:
-        tls = self.settings.tls
-        if tls is None:
-            return None
-        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-        context.load_cert_chain(tls.certificate_file, tls.key_file)
-        return context
-
     def _add_gauges(self) -> None:
         parts = self._parts
         gauge = parts.telemetry.gauge
@@ -293,12 +284,7 @@
             return
         try:
             version, listed = await parts.vm_list.read()
-        except (
-            aiohttp.ClientError,
-            TimeoutError,
-            OSError,
-            ValueError,
-        ) as error:
+        except (*log_module.CONNECT_ERRORS, ValueError) as error:
             LOG.warning("the list of VMs can't be read: %r", error)
             return
         self._traffic.read_list(version, listed)
@@ -386,6 +372,14 @@
         self._parts.telemetry.shutdown()
 
 
+def _tls(tls: settings_module.Tls | None) -> ssl.SSLContext | None:
+    if tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(tls.certificate_file, tls.key_file)
+    return context
+
+
 def run(settings: settings_module.Settings) -> None:
     """Run a router until SIGTERM or SIGINT.
 
