--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -326,10 +326,20 @@
         for name in names or self.router_names():
             while not await self._ready(name):
                 if time.monotonic() > deadline:
+                    state = await self._state(name)
                     log = self.processes[name].log.read_text()[-3000:]
-                    raise RuntimeError(f"{name} is not ready: {log}")
+                    raise RuntimeError(f"{name} is not ready: {state} {log}")
                 await asyncio.sleep(0.1)
 
+    async def _state(self, name: str) -> str:
+        """Return what a router says of itself, for a failure's text."""
+        try:
+            ready = await self.operator(name, "GET", "/readyz")
+            fleet = await self.operator(name, "GET", "/fleet")
+        except aiohttp.ClientError as error:
+            return repr(error)
+        return f"{ready} {fleet}"
+
     async def _ready(self, name: str) -> bool:
         try:
             status, _ = await self.operator(name, "GET", "/readyz")
