--- a/src/bulrushdale/routing/overload.py
+++ b/src/bulrushdale/routing/overload.py
@@ -78,10 +78,14 @@
     """Return whether to turn a request away.
 
     :param demand: how busy the service is.
-    :param target_time_ms: within which the answer should be there, in ms.
+    :param target_time_ms: within which the answer should be there, in ms;
+        0 if that is not said.
     :param chance: the request's draw, from 0 to below 1.
     """
-    part = demand.wait_ms() / target_time_ms
+    wait_ms = demand.wait_ms()
+    if not wait_ms or target_time_ms <= 0:
+        return False
+    part = wait_ms / target_time_ms
     return chance < (part - FIRST_REFUSED) / (ALL_REFUSED - FIRST_REFUSED)
 
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bench import emulator
+from bulrushdale.routing import overload
 from bulrushdale.routing import placement
 
 # Calm days are to have 95 in 100 of each kind within its target time.
@@ -43,3 +44,10 @@
 @pytest.mark.parametrize("load", [emulator.GROWN, RUSH, emulator.SMALL])
 def test_nothing_is_turned_away_while_there_is_room(load):
     assert emulator.play(load).refused <= 0.01 * emulator.play(load).asked
+
+
+def test_route_without_a_target_time_is_never_too_full():
+    full = overload.Demand(load=90, slots=6, work_ms=72)
+    assert overload.refuses(full, 400, 0.99)
+    assert not overload.refuses(full, 0, 0.0)
+    assert not overload.refuses(overload.Demand(0, 6, 72), 0, 0.0)
