--- a/src/bulrushdale/platform/registry.py
+++ b/src/bulrushdale/platform/registry.py
@@ -13,7 +13,8 @@
 LOG = logging.getLogger(__name__)
 
 # Reports between routers name the others too; the store is for those that
-# hear none, because they start or were cut off.
+# hear none, because they start or were cut off. Each call to it is paid for;
+# a router that missed the others at its start finds them within this time.
 READ_INTERVAL_MS = 15_000
 # Registering is tried again after this; the store is away or has just come.
 RETRY_DELAY_MS = 1_000
--- a/src/bulrushdale/routing/overload.py
+++ b/src/bulrushdale/routing/overload.py
@@ -22,7 +22,8 @@
 # to 0.83 of all at 1.1 times what targets can do, and at 0.8 times less than
 # 0.01 is turned away; a lower start turns away more there.
 ALL_REFUSED = 1.2
-# How much a new measurement weighs against those before.
+# How much a new measurement weighs against those before: the last ten count
+# most, which are some seconds at the few requests a second of one router.
 WORK_SMOOTHING = 0.1
 
 
