Take all ports before opening any connection

Ruled out: another process of the run; the port lies in the outgoing range.

The gateway now takes its three ports first and says which can't be opened, in the log and on stderr, with status 2; peers and the store learn nothing of a router that can't serve. The tests and the example of the platform take their ports from below the outgoing range, by one function for both compositions.

--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -6,15 +6,12 @@
 """
 
 import asyncio
-import contextlib
 import dataclasses
 import hashlib
-import itertools
 import os
 import pathlib
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -24,12 +21,10 @@
 import aiohttp
 import yaml
 
+from examples import ports
+
 OPERATOR_KEY = "operator-key"
-HOST = "127.0.0.1"
 READY_TIMEOUT_S = 40
-LOWEST_PORT = 10_000
-PORT_COUNT = 20_000
-_port_numbers = itertools.count(os.getpid() * 61)
 
 
 def sha256(text: str) -> str:
@@ -37,21 +32,6 @@
     return hashlib.sha256(text.encode()).hexdigest()
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on.
-
-    They lie below the ports that the system gives to outgoing
-    connections, so that none is taken before its process listens.
-    """
-    ports: list[int] = []
-    while len(ports) < count:
-        port = LOWEST_PORT + next(_port_numbers) % PORT_COUNT
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind((HOST, port))
-            ports.append(port)
-    return ports
-
-
 @dataclasses.dataclass
 class Shape:
     """What a deployment consists of.
@@ -141,7 +121,7 @@
 
     async def _start(self) -> None:
         shape = self.shape
-        log_port, list_port = free_ports(2)
+        log_port, list_port = ports.free_ports(2)
         self._standin(
             "log", "log", log_port, "--retention-ms", str(shape.retention_ms)
         )
@@ -168,11 +148,11 @@
         args = [f"examples.standins.{module}", "--port", str(port), *more]
         process = Process(name, args, self.folder / f"{name}.log")
         self.processes[name] = process
-        self.urls[name] = f"http://{HOST}:{port}"
+        self.urls[name] = f"http://{ports.HOST}:{port}"
         process.start()
 
     def _target(self, centre: str, module: str, name: str) -> None:
-        (port,) = free_ports(1)
+        (port,) = ports.free_ports(1)
         more: list[str] = []
         if module == "engine":
             options = {
@@ -192,13 +172,12 @@
         }
 
     def _plan_router(self, centre: str, name: str) -> None:
-        ports = free_ports(3)
-        caller, operator, link = ports
+        caller, operator, link = ports.free_ports(3)
         settings = {
             "router": name,
             "data_centre": centre,
             "listen": {
-                "host": HOST,
+                "host": ports.HOST,
                 "caller_port": caller,
                 "operator_port": operator,
                 "link_port": link,
@@ -222,8 +201,8 @@
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
         self.router_ports[name] = (caller, operator, link)
-        self.urls[name] = f"http://{HOST}:{caller}"
-        self.urls[f"{name}/operator"] = f"http://{HOST}:{operator}"
+        self.urls[name] = f"http://{ports.HOST}:{caller}"
+        self.urls[f"{name}/operator"] = f"http://{ports.HOST}:{operator}"
         self.processes[name] = Process(
             name,
             ["bulrushdale.cli", "router", "--config", str(path)],
@@ -233,9 +212,9 @@
             "name": name,
             "role": "router",
             "data_centre": centre,
-            "address": f"{HOST}:{link}",
+            "address": f"{ports.HOST}:{link}",
             "state": "live",
-            "operator_address": f"http://{HOST}:{operator}",
+            "operator_address": f"http://{ports.HOST}:{operator}",
         }
 
     def router_names(self, centre: str | None = None) -> list[str]:
@@ -313,7 +292,7 @@
             if process.popen.poll() is not None:
                 raise RuntimeError(process.log.read_text()[-3000:])
             try:
-                _, writer = await asyncio.open_connection(HOST, port)
+                _, writer = await asyncio.open_connection(ports.HOST, port)
                 writer.close()
                 return
             except OSError:
--- a/examples/platform.py
+++ b/examples/platform.py
@@ -7,7 +7,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import socket
 
 import aiohttp
 from aiohttp import web
@@ -15,10 +14,10 @@
 
 from bulrushdale.forwarding import settings as settings_module
 from bulrushdale import gateway
+from examples import ports
 from examples.standins import keyed_store
 from examples.standins import scripted_target
 
-HOST = "127.0.0.1"
 KEY = "bakery-key"
 LIST_INTERVAL_S = 1.5
 
@@ -51,12 +50,6 @@
 }
 
 
-def _free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
-
-
 async def _answer(
     request: scripted_target.Received, writer: asyncio.StreamWriter
 ) -> None:
@@ -91,7 +84,7 @@
         "Authorization": f"Bearer {KEY}",
     }
     async with session.post(
-        f"http://{HOST}:{port}{path}", headers=headers, data=b"a loaf"
+        f"http://{ports.HOST}:{port}{path}", headers=headers, data=b"a loaf"
     ) as response:
         text = (await response.text()).strip().replace("\n", " ")
         print(f"POST {path}: {response.status} {text}")
@@ -102,8 +95,10 @@
     runner = web.AppRunner(store.app())
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
-    store_port = _free_port()
-    await web.TCPSite(runner, HOST, store_port).start()
+    store_port, caller_port, ready_port, link_port, metrics_port = (
+        ports.free_ports(5)
+    )
+    await web.TCPSite(runner, ports.HOST, store_port).start()
     await store.put("keyed.op", "config", orjson.dumps(CONFIGURATION))
     targets = {}
     for name in ("oven-1", "oven-2"):
@@ -114,15 +109,15 @@
         await store.put("keyed.servers", name, _entry(target.address, "ready"))
     settings = settings_module.Settings(
         router="example",
-        host=HOST,
+        host=ports.HOST,
         data_centre="mid-a",
         link_mbps=1_000,
-        caller_port=_free_port(),
-        ready_port=_free_port(),
-        link_port=_free_port(),
-        metrics_port=_free_port(),
+        caller_port=caller_port,
+        ready_port=ready_port,
+        link_port=link_port,
+        metrics_port=metrics_port,
         seeds=(),
-        store_address=f"{HOST}:{store_port}",
+        store_address=f"{ports.HOST}:{store_port}",
         drain_notice_ms=100,
         drain_timeout_ms=1_000,
         key_age_limit_ms=4_400,
--- a/src/bulrushdale/forwarding/ports.py
+++ b/src/bulrushdale/forwarding/ports.py
@@ -30,19 +30,47 @@
     )
 
 
-async def listen(server: web.Server, host: str, port: int) -> web.ServerRunner:
-    """Open a port.
+class PortError(Exception):
+    """A port of the settings that can't be opened."""
+
+
+def bind(host: str, ports: abc.Mapping[str, int]) -> dict[str, socket.socket]:
+    """Take ports, without yet accepting connections.
+
+    A router takes its ports before it opens any connection of its own,
+    which the system might give one of these numbers, and before others
+    learn of it.
 
-    :param server: serves its connections.
     :param host: IP to listen on.
-    :param port: the port.
+    :param ports: by the name of their setting.
+    :return: their sockets, by the same names.
+    :raises PortError: if one can't be had; none is kept then.
+    """
+    sockets: dict[str, socket.socket] = {}
+    for name, port in ports.items():
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sockets[name] = sock
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        connections.tune(sock)
+        try:
+            sock.bind((host, port))
+        except OSError as error:
+            for taken in sockets.values():
+                taken.close()
+            raise PortError(
+                f"{name} {port} on {host} can't be opened: {error.strerror}"
+            ) from error
+    return sockets
+
+
+async def serve(server: web.Server, sock: socket.socket) -> web.ServerRunner:
+    """Accept connections at a port.
+
+    :param server: serves its connections.
+    :param sock: from :func:`bind`.
     :return: closes the port and its connections.
     """
     runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    connections.tune(sock)
-    sock.bind((host, port))
     await web.SockSite(runner, sock, backlog=BACKLOG).start()
     return runner
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -61,6 +61,11 @@
 
     async def start(self) -> None:
         """Open the ports and start the background work."""
+        names = ("caller_port", "ready_port", "metrics_port")
+        sockets = ports.bind(
+            self.settings.host,
+            {name: getattr(self.settings, name) for name in names},
+        )
         self._clock = clock_module.Clock()
         self._stack = contextlib.AsyncExitStack()
         await self._wire()
@@ -71,18 +76,14 @@
                 self._parts, self._activity, headers.CallError
             ).handle
         )
-        self._callers = await ports.listen(
-            self._callers_server, self.settings.host, self.settings.caller_port
+        self._callers = await ports.serve(
+            self._callers_server, sockets["caller_port"]
         )
-        self._ready = await ports.listen(
-            ports.make_server(self._tell_ready),
-            self.settings.host,
-            self.settings.ready_port,
+        self._ready = await ports.serve(
+            ports.make_server(self._tell_ready), sockets["ready_port"]
         )
-        self._scraped = await ports.listen(
-            ports.make_server(self._tell_metrics),
-            self.settings.host,
-            self.settings.metrics_port,
+        self._scraped = await ports.serve(
+            ports.make_server(self._tell_metrics), sockets["metrics_port"]
         )
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
@@ -384,13 +385,21 @@
         print(error.show(), file=sys.stderr)
         sys.exit(2)
     logs.configure(settings.router)
-    with aiomisc.entrypoint(
-        Gateway(settings=settings, load_settings=_load),
-        log_config=False,
-        pool_size=2,
-        shutdown_timeout=settings.drain_timeout_ms / 1000 + 1,
-    ) as loop:
-        loop.run_forever()
+    try:
+        with aiomisc.entrypoint(
+            Gateway(settings=settings, load_settings=_load),
+            log_config=False,
+            pool_size=2,
+            shutdown_timeout=settings.drain_timeout_ms / 1000 + 1,
+        ) as loop:
+            loop.run_forever()
+    except ports.PortError as error:
+        LOG.error(
+            "router can't start",
+            extra={"event": "router.not_started", "reason": str(error)},
+        )
+        print(error, file=sys.stderr)
+        sys.exit(2)
 
 
 if __name__ == "__main__":
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -2,35 +2,28 @@
 
 import asyncio
 import contextlib
-import socket
 
 from aiohttp import web
 import orjson
 
 from bulrushdale.forwarding import settings as settings_module
 from bulrushdale import gateway
+from examples import ports
 from examples.standins import keyed_store
 from examples.standins import scripted_target
 
-HOST = "127.0.0.1"
-
-
-def free_port():
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
-
 
 def make_settings(**changes):
+    caller_port, ready_port, link_port, metrics_port = ports.free_ports(4)
     fields = {
         "router": "r1",
-        "host": HOST,
+        "host": ports.HOST,
         "data_centre": "dc1",
         "link_mbps": 1_000,
-        "caller_port": free_port(),
-        "ready_port": free_port(),
-        "link_port": free_port(),
-        "metrics_port": free_port(),
+        "caller_port": caller_port,
+        "ready_port": ready_port,
+        "link_port": link_port,
+        "metrics_port": metrics_port,
         "seeds": (),
         "drain_notice_ms": 100,
         "drain_timeout_ms": 3_000,
@@ -131,7 +124,8 @@
     def __init__(self):
         self.stack = contextlib.AsyncExitStack()
         self.store = keyed_store.KeyedStore()
-        self.store_address = f"{HOST}:{free_port()}"
+        (store_port,) = ports.free_ports(1)
+        self.store_address = f"{ports.HOST}:{store_port}"
         self.targets = []
         self.routers = []
 
@@ -140,7 +134,7 @@
         await runner.setup()
         self.stack.push_async_callback(runner.cleanup)
         port = int(self.store_address.rpartition(":")[2])
-        await web.TCPSite(runner, HOST, port).start()
+        await web.TCPSite(runner, ports.HOST, port).start()
 
     async def publish(self, **changes):
         await self.store.put(
@@ -173,4 +167,4 @@
 
     def url(self, path, router=None):
         settings = (router or self.routers[0]).settings
-        return f"http://{HOST}:{settings.caller_port}{path}"
+        return f"http://{ports.HOST}:{settings.caller_port}{path}"
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -10,6 +10,8 @@
 import aiohttp
 import pytest
 
+from bulrushdale.forwarding import ports as port_module
+from examples import ports
 from examples.standins import scripted_target
 from tests import gateway_fixtures
 
@@ -520,8 +522,8 @@
     link_port = first.settings.link_port
     second = await deployment.add_router(
         router="r2",
-        store_address=f"{gateway_fixtures.HOST}:1",
-        seeds=(f"{gateway_fixtures.HOST}:{link_port}",),
+        store_address=f"{ports.HOST}:1",
+        seeds=(f"{ports.HOST}:{link_port}",),
     )
     await deployment.ready(second)
     async with caller.post(
@@ -662,3 +664,16 @@
         note_unreachable()
         body = await response.read()
     assert body == b"".join(scripted_target.event(n) for n in range(5))
+
+
+async def test_a_taken_port_shows_before_others_learn_of_the_router():
+    """Else peers would count on a router that never served."""
+    deployment = gateway_fixtures.Deployment()
+    async with deployment.stack:
+        await deployment.start_store()
+        with socket.socket() as sock:
+            sock.bind((ports.HOST, 0))
+            port = sock.getsockname()[1]
+            with pytest.raises(port_module.PortError, match="metrics_port"):
+                await deployment.add_router(metrics_port=port)
+        assert not deployment.store.calls
