Copy shared prompt parts from the target that has them

Change: a choice names besides the target another one that has the prefix; the platform's header carries it. Exceptions from hashing are told as soon as hashing puts a prefix elsewhere now or soon: before, a prefix whose target had left moved again with each newcomer. drain_ms of the settings tells how long a target that was removed without notice is counted on.

Ruled out: copying from whatever has left within 12 s.

Tests: tests/test_selection.py; without telling moved prefixes, without the check of reachability, of the drain time and of moved addresses one each fails. test_gateway: a broken stream's prompt is copied to the next target; a caller's own header is dropped.

--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -241,10 +241,11 @@
         asked_ms: float,
         tried: set[str],
     ) -> None:
-        target = router.selection.choose(call, ROUTE, SERVICE, tried)
-        if target is None:
+        choice = router.selection.choose(call, ROUTE, SERVICE, tried)
+        if choice is None:
             self.outcome.refused += 1
             return
+        target = choice.target
         server = self._servers[target.target_id]
         free = router.selection.has_free_slot(target)
         asker = _Asker(router, asked_ms, self._now_ms, free)
--- a/examples/platform.py
+++ b/examples/platform.py
@@ -118,6 +118,7 @@
         metrics_port=metrics_port,
         seeds=(),
         store_address=f"{ports.HOST}:{store_port}",
+        target_drain_ms=2_000,
         drain_notice_ms=100,
         drain_timeout_ms=1_000,
         key_age_limit_ms=4_400,
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -17,6 +17,7 @@
 from bulrushdale.routing import overload
 from bulrushdale.routing import refusals
 from bulrushdale.routing import routes
+from bulrushdale.routing import selection as selection_module
 from bulrushdale.routing import targets as targets_module
 from bulrushdale.routing import timeouts
 
@@ -137,34 +138,36 @@
             )
         self._parts.budget.note_request(self._service)
         while True:
-            target = self._next_target()
+            choice = self._choose()
+            target = choice.target
             target.in_flight += 1
             try:
-                response = await self._try(target)
+                response = await self._try(target, choice.cache_at)
             finally:
                 target.in_flight -= 1
                 self._parts.selection.judge(self._service)
             if response is not None:
                 return response
 
-    def _next_target(self) -> targets_module.Target:
+    def _choose(self) -> selection_module.Choice:
         """Return the next target to try, or end the request."""
         if self._left_ms() < timeouts.MIN_LEFT_MS:
             raise self._end("the deadline has passed")
         if self._offers >= MAX_OFFERS:
             raise self._end("no target took it")
-        target = self._parts.selection.choose(
+        choice = self._parts.selection.choose(
             self._call,
             self._route,
             self._service,
             self._tried,
             unreachable_too=self._response is not None,
         )
-        if target is None:
+        if choice is None:
             raise self._end(self._parts.selection.why_none(self._service))
         if self._offers and not self._take_retry():
             raise self._end("the retry budget is spent")
         self._retry_taken = False
+        target, cache_at = choice.target, choice.cache_at
         self._tried.add(target.target_id)
         self._log(
             "request.placed",
@@ -174,9 +177,10 @@
             version=self._admitted.version,
             prefix=self._call.affinity,
             shared_tokens=self._call.shared_tokens,
+            cache_at=cache_at.target_id if cache_at else "",
             resume_after=self._splitter.last_id,
         )
-        return target
+        return choice
 
     def _end(self, detail: str) -> Exception:
         """Return the error that ends the request without an answer."""
@@ -219,10 +223,14 @@
         )
 
     async def _try(
-        self, target: targets_module.Target
+        self,
+        target: targets_module.Target,
+        cache_at: targets_module.Target | None,
     ) -> web.StreamResponse | None:
         """Send the request to a target.
 
+        :param target: the target.
+        :param cache_at: another that has the prompt's shared part.
         :return: the final answer; none if another target is to be tried.
         """
         left_ms = self._left_ms()
@@ -233,7 +241,7 @@
             self._session(),
             target.address,
             self._call,
-            self._headers(target, left_ms),
+            self._headers(target, cache_at, left_ms),
             self._parts.wire.decode_answer,
             self._wait(target, timeouts.patience_for_answer_ms(self._route)),
         )
@@ -267,7 +275,10 @@
         return self._parts.once_session
 
     def _headers(
-        self, target: targets_module.Target, left_ms: int
+        self,
+        target: targets_module.Target,
+        cache_at: targets_module.Target | None,
+        left_ms: int,
     ) -> list[tuple[str, str]]:
         team = self._admitted.team
         return self._parts.wire.encode_call(
@@ -277,6 +288,7 @@
             self._admitted.urgency,
             left_ms,
             self._splitter.last_id,
+            cache_at.address if cache_at is not None else None,
         )
 
     def _note_not_run(
--- a/src/bulrushdale/forwarding/settings.py
+++ b/src/bulrushdale/forwarding/settings.py
@@ -18,6 +18,7 @@
     :param metrics_port: port for metrics.
     :param seeds: addresses of some routers' links; may be out of date.
     :param store_address: IP and port of the platform's store.
+    :param target_drain_ms: how long a target goes on serving that leaves.
     :param drain_notice_ms: how long a stopping router takes requests that
         were on their way when it said so.
     :param drain_timeout_ms: how long a stopping router may finish requests.
@@ -38,6 +39,7 @@
     metrics_port: int
     seeds: tuple[str, ...]
     store_address: str
+    target_drain_ms: int
     drain_notice_ms: int
     drain_timeout_ms: int
     key_age_limit_ms: int | None
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -140,7 +140,7 @@
         self._store = store_module.Store(own_session, settings.store_address)
         self._activity = callers.Activity()
         self._revisions = revisions_module.Revisions(clock)
-        self._targets = targets_module.Targets(clock)
+        self._targets = targets_module.Targets(clock, settings.target_drain_ms)
         address = f"{settings.host}:{settings.link_port}"
         self._peers = peers_module.Peers(
             address, settings.data_centre, settings.link_mbps, clock
--- a/src/bulrushdale/platform/headers.py
+++ b/src/bulrushdale/platform/headers.py
@@ -23,6 +23,8 @@
 # The target's signature; without it nothing came from a target.
 _SEAL = "X-Server-Seal"
 _NOT_RUN = "X-Not-Executed"
+# The target that has the prompt in its cache copies it to the one that asks.
+_COPY_FROM = "Kv-Fetch"
 
 _STATUS_OTHER_TARGET = 421
 
@@ -55,7 +57,7 @@
         "X-Pin-Ms",
         "X-Kv-Backup",
         "Kv-From",
-        "Kv-Fetch",
+        _COPY_FROM,
         "X-Expect-Version",
     )
 )
@@ -155,6 +157,7 @@
     urgency: int | None,
     left_ms: int,
     resume_after: int | None,
+    cache_at: str | None,
 ) -> list[tuple[str, str]]:
     """Return the headers of a request for a target.
 
@@ -164,6 +167,8 @@
     :param urgency: rank at the target, 0 first; none for the usual one.
     :param left_ms: how long the target may work, in ms.
     :param resume_after: the last event that the caller has.
+    :param cache_at: address of a target to copy the shared part of the
+        prompt from.
     """
     headers = [
         (name, value)
@@ -178,6 +183,8 @@
         headers.append((_URGENCY, str(urgency)))
     if resume_after is not None:
         headers.append((_RESUME, str(resume_after)))
+    if cache_at is not None:
+        headers.append((_COPY_FROM, cache_at))
     return headers
 
 
--- a/src/bulrushdale/platform/settings.py
+++ b/src/bulrushdale/platform/settings.py
@@ -39,6 +39,7 @@
 
 
 class Bounds(_Table):
+    drain_ms: int = 2_000
     grace_s: float = 8.0
     revoke_ms: int = 5_000
     strict_revocation: bool = True
@@ -86,6 +87,7 @@
             f"{seed.rpartition(':')[0]}:{first_port}" for seed in file.seeds
         ),
         store_address=file.platform.address,
+        target_drain_ms=bounds.drain_ms,
         drain_notice_ms=DRAIN_NOTICE_MS,
         drain_timeout_ms=int(bounds.grace_s * 1000) - STOP_MARGIN_MS,
         key_age_limit_ms=(
--- a/src/bulrushdale/routing/overrides.py
+++ b/src/bulrushdale/routing/overrides.py
@@ -52,14 +52,18 @@
             return None
         return target_id
 
-    def note(self, key: int, target_id: str, usual: str) -> None:
+    def note(self, key: int, target_id: str, hashed_to: abc.Set[str]) -> None:
         """Note a placement by this router.
 
+        While targets come and go, hashing puts a prefix at one target now
+        and at another one soon; only where both are the one that it went to
+        do other routers find it without being told.
+
         :param key: hash of the prefix.
         :param target_id: where the request went.
-        :param usual: where hashing over all present targets puts it.
+        :param hashed_to: where hashing puts it, now and soon.
         """
-        if target_id == usual and key not in self._places:
+        if {target_id} == hashed_to and key not in self._places:
             return
         self._keep(key, target_id)
         self._updates[key] = target_id
--- a/src/bulrushdale/routing/placement.py
+++ b/src/bulrushdale/routing/placement.py
@@ -60,25 +60,38 @@
     return bound * (SHORT_PREFIX_SHARE + (1 - SHORT_PREFIX_SHARE) * length)
 
 
-def prefix_order(
+def home(
     key: int,
     settled: abc.Collection[str],
     staying: abc.Collection[str],
     gone: abc.Collection[str],
+) -> str:
+    """Return the target that has a prefix, if any has it.
+
+    Targets that have just joined don't, and one that left lately does.
+
+    :param key: hash of the prefix.
+    :param settled: targets that are in the list for some time.
+    :param staying: all targets that get work, at least one.
+    :param gone: targets that left lately.
+    """
+    return hashing.winner(key, [*settled, *gone] if settled else staying)
+
+
+def prefix_order(
+    key: int, first: str, staying: abc.Collection[str]
 ) -> list[str]:
     """Return the order in which targets come into question for a prefix.
 
-    A prefix whose target is gone has to be read again anyway, and goes to
-    any target; the others leave out those that have just joined.
+    A prefix whose target is gone has to move anyway, and goes to any target;
+    the others leave out those that have just joined.
 
     :param key: hash of the prefix.
-    :param settled: targets that are in the list for some time.
+    :param first: its home.
     :param staying: all targets that get work.
-    :param gone: targets that left lately.
     """
     order = hashing.rendezvous(key, staying)
-    first = hashing.winner(key, [*settled, *gone]) if settled else order[0]
-    if first in gone:
+    if first not in staying:
         return order
     return [first, *(name for name in order if name != first)]
 
--- a/src/bulrushdale/routing/selection.py
+++ b/src/bulrushdale/routing/selection.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections import abc
+import dataclasses
 import logging
 
 from bulrushdale import clock as clock_module
@@ -17,6 +18,10 @@
 
 LOG = logging.getLogger(__name__)
 
+# Shorter prefixes are read again sooner than a copy of them is set up, which
+# takes some ms; engines read tens of tokens in a ms.
+COPIED_TOKENS_MIN = 256
+
 # Chooses among candidates for a request that no prefix ties to a target,
 # knowing how many requests others have placed unseen, and the request's id.
 ByLoad = abc.Callable[
@@ -24,6 +29,19 @@
 ]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """Where a request goes.
+
+    :param target: the target that is to run it.
+    :param cache_at: another target, which probably has the shared part of
+        the prompt in its cache; copying it costs less than reading it again.
+    """
+
+    target: targets_module.Target
+    cache_at: targets_module.Target | None = None
+
+
 class Selection:
     """Chooses targets from the list, health and load.
 
@@ -73,8 +91,8 @@
         service: str,
         tried: abc.Collection[str],
         unreachable_too: bool = False,
-    ) -> targets_module.Target | None:
-        """Return the target for a request; none if there is none.
+    ) -> Choice | None:
+        """Return where a request goes; none if there is no target.
 
         :param call: the request.
         :param route: its route.
@@ -103,12 +121,11 @@
             for t in fit
         ]
         if route.by_prefix and call.prompt:
-            found = self._by_prefix(call, service, candidates, loads)
-        else:
-            found = self._by_load(
-                candidates, self._unseen(staying), call.request_id
-            )
-        return self._targets.get(found.target_id)
+            return self._by_prefix(call, service, candidates, loads)
+        found = self._by_load(
+            candidates, self._unseen(staying), call.request_id
+        )
+        return Choice(self._targets.known(found.target_id))
 
     def has_other(self, service: str, tried: abc.Collection[str]) -> bool:
         """Return whether there is a target that wasn't tried yet."""
@@ -148,22 +165,43 @@
         service: str,
         candidates: list[placement.Candidate],
         loads: abc.Mapping[str, int],
-    ) -> placement.Candidate:
+    ) -> Choice:
         key = hashing.hash64(call.affinity.encode())
-        order = placement.prefix_order(
+        hashed_to = placement.home(
             key,
             self._targets.settled(service),
             loads,
             self._targets.gone(service),
         )
+        order = placement.prefix_order(key, hashed_to, loads)
         lives_at = self._overrides.find(key)
         if lives_at is not None:
             order.insert(0, lives_at)
         bound = placement.load_bound(loads.values(), call.shared_tokens)
         found = placement.by_prefix(order, candidates, bound)
-        usual = hashing.winner(key, loads)
-        self._overrides.note(key, found.target_id, usual)
-        return found
+        self._overrides.note(
+            key, found.target_id, {hashed_to, hashing.winner(key, loads)}
+        )
+        return Choice(
+            self._targets.known(found.target_id),
+            self._cache_at(
+                service,
+                lives_at or hashed_to,
+                found.target_id,
+                call.shared_tokens,
+            ),
+        )
+
+    def _cache_at(
+        self, service: str, home: str, target_id: str, shared_tokens: int
+    ) -> targets_module.Target | None:
+        """Return the target to copy a prompt's shared part from, if any."""
+        if home == target_id or shared_tokens < COPIED_TOKENS_MIN:
+            return None
+        target = self._targets.running(service, home)
+        if target is None or target.health.unreachable:
+            return None
+        return target
 
     def _fit(
         self, staying: list[targets_module.Target]
--- a/src/bulrushdale/routing/targets.py
+++ b/src/bulrushdale/routing/targets.py
@@ -104,26 +104,29 @@
     """The targets that a router may use.
 
     :param clock: the clock.
+    :param drain_ms: how long a target goes on serving that leaves, in ms.
     """
 
     __slots__ = (
         "_clock",
         "_targets",
         "_by_service",
-        "_gone_ms",
+        "_gone",
         "_left_ms",
         "_away_until_ms",
         "_first_ms",
+        "_drain_ms",
     )
 
-    def __init__(self, clock: clock_module.Clock) -> None:
+    def __init__(self, clock: clock_module.Clock, drain_ms: int = 0) -> None:
         self._clock = clock
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, dict[str, Target]] = {}
-        self._gone_ms: dict[str, dict[str, int]] = {}
+        self._gone: dict[str, dict[str, tuple[int, Target]]] = {}
         self._left_ms: dict[tuple[str, int], int] = {}
         self._first_ms: int | None = None
         self._away_until_ms = 0
+        self._drain_ms = drain_ms
 
     def put(self, listing: Listing) -> None:
         """Take over an entry of the list."""
@@ -165,8 +168,8 @@
 
     def _leave(self, target: Target) -> None:
         target.leaving = True
-        gone_ms = self._gone_ms.setdefault(target.listing.service, {})
-        gone_ms[target.target_id] = self._clock.now_ms()
+        gone = self._gone.setdefault(target.listing.service, {})
+        gone[target.target_id] = (self._clock.now_ms(), target)
 
     def _log(self, event: str, target: Target, detail: str) -> None:
         LOG.info(
@@ -222,6 +225,13 @@
         """Return a target by its id."""
         return self._targets.get(target_id)
 
+    def known(self, target_id: str) -> Target:
+        """Return a target that is there.
+
+        :raises KeyError: if it isn't.
+        """
+        return self._targets[target_id]
+
     def all(self) -> abc.Collection[Target]:
         """Return every listed target."""
         return self._targets.values()
@@ -242,12 +252,28 @@
 
     def gone(self, service: str) -> list[str]:
         """Return the targets of a service that left lately."""
-        gone_ms = self._gone_ms.get(service, {})
+        gone = self._gone.get(service, {})
         oldest_ms = self._clock.now_ms() - SETTLE_MS
-        for target_id, left_ms in list(gone_ms.items()):
+        for target_id, (left_ms, _) in list(gone.items()):
             if left_ms < oldest_ms:
-                del gone_ms[target_id]
-        return list(gone_ms)
+                del gone[target_id]
+        return list(gone)
+
+    def running(self, service: str, target_id: str) -> Target | None:
+        """Return a target of a service that still runs, as far as known.
+
+        One that said that it leaves is removed from the list at its end, but
+        one that is removed without a word goes on for some time.
+        """
+        present = self._by_service.get(service, {}).get(target_id)
+        if present is not None:
+            moved = present.leaving and not present.listing.leaving
+            return None if moved else present
+        left_ms, target = self._gone.get(service, {}).get(target_id, (0, None))
+        if target is None or target.listing.leaving:
+            return None
+        recent = self._clock.now_ms() - left_ms < self._drain_ms
+        return target if recent else None
 
     def staying(self, service: str) -> list[Target]:
         """Return a service's targets that may get new work."""
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -25,6 +25,7 @@
         "link_port": link_port,
         "metrics_port": metrics_port,
         "seeds": (),
+        "target_drain_ms": 2_000,
         "drain_notice_ms": 100,
         "drain_timeout_ms": 3_000,
         "key_age_limit_ms": 4_400,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -80,7 +80,11 @@
     deployment, caller
 ):
     sent = headers(
-        X_Tenant_Id="forged", X_Pin_Ms="9", X_Hold="h", X_Own="kept"
+        X_Tenant_Id="forged",
+        X_Pin_Ms="9",
+        X_Hold="h",
+        Kv_Fetch="10.0.0.1:80",
+        X_Own="kept",
     )
     async with caller.post(
         deployment.url("/order/a%2Fb?x=1"), headers=sent, data=b"body"
@@ -96,7 +100,7 @@
     assert request.headers["x-own"] == "kept"
     assert request.headers["x-expect-instance"] in ("t1", "t2")
     assert 2_000 < int(request.headers["x-deadline-ms"]) <= 3_000
-    for name in ("authorization", "x-pin-ms", "x-hold"):
+    for name in ("authorization", "x-pin-ms", "x-hold", "kv-fetch"):
         assert name not in request.headers
 
 
@@ -677,3 +681,33 @@
             with pytest.raises(port_module.PortError, match="metrics_port"):
                 await deployment.add_router(metrics_port=port)
         assert not deployment.store.calls
+
+
+async def test_prompt_of_a_broken_stream_is_copied_to_the_next_target(
+    deployment, caller
+):
+    """The target still has in its cache what the next one would read."""
+
+    async def cut(request, writer):
+        writer.write(scripted_target.stream_head(request))
+        writer.transport.abort()
+
+    everyone(deployment, failing_first(cut))
+    sent = headers(X_Prompt_Prefix="aa:2000,bb:9", X_Token_Counts="2009,50")
+    async with caller.post(
+        deployment.url("/plan/x"), headers=sent
+    ) as response:
+        assert response.status == 200
+        await response.read()
+    first, second = sorted(
+        received(deployment, "/plan/"),
+        key=lambda request: "kv-fetch" in request.headers,
+    )
+    assert "kv-fetch" not in first.headers
+    addresses = {
+        f"t{number}": target.address
+        for number, target in enumerate(deployment.targets, start=1)
+    }
+    failed_id = first.headers["x-expect-instance"]
+    assert second.headers["kv-fetch"] == addresses[failed_id]
+    assert second.headers["x-expect-instance"] != failed_id
--- a/tests/test_route_targets.py
+++ b/tests/test_route_targets.py
@@ -141,8 +141,13 @@
     ]
 
 
+def order_for(key, settled, staying, gone=()):
+    home = placement.home(key, settled, staying, gone)
+    return placement.prefix_order(key, home, staying)
+
+
 def place(key, loads, bound):
-    order = placement.prefix_order(key, list(loads), loads, ())
+    order = order_for(key, list(loads), loads)
     return placement.by_prefix(order, make_candidates(loads), bound).target_id
 
 
@@ -189,11 +194,13 @@
     before = {key: hashing.winner(key, old) for key in range(200)}
     for settled in (old, joined):
         for key in range(200):
-            order = placement.prefix_order(key, settled, joined, ())
+            order = order_for(key, settled, joined)
             if overrides.find(key) is not None:
                 order.insert(0, overrides.find(key))
             assert order[0] == before[key]
-            overrides.note(key, order[0], hashing.winner(key, joined))
+            overrides.note(
+                key, order[0], {before[key], hashing.winner(key, joined)}
+            )
     by_hash = [hashing.winner(key, joined) for key in range(200)]
     assert 20 < by_hash.count("e") < 60
 
@@ -202,7 +209,7 @@
     staying = ["b", "c", "e"]
     places = collections.Counter()
     for key in range(300):
-        order = placement.prefix_order(key, ["b", "c"], staying, ["a"])
+        order = order_for(key, ["b", "c"], staying, ["a"])
         if hashing.winner(key, ["a", "b", "c"]) == "a":
             places[order[0]] += 1
         else:
@@ -213,8 +220,8 @@
 def test_routers_learn_exceptions_and_forget_them(clock):
     one = overrides_module.Overrides(clock)
     two = overrides_module.Overrides(clock)
-    one.note(1, "a", "b")
-    one.note(2, "b", "b")
+    one.note(1, "a", {"b"})
+    one.note(2, "b", {"b"})
     updates = one.take_updates()
     assert updates == {1: "a"}
     assert one.take_updates() == {}
--- /dev/null
+++ b/tests/test_selection.py
@@ -0,0 +1,182 @@
+"""Where requests that share a part of their prompt go, and what is copied."""
+
+import dataclasses
+
+import pytest
+
+from bulrushdale import hashing
+from bulrushdale.routing import calls
+from bulrushdale.routing import overrides as overrides_module
+from bulrushdale.routing import peers as peers_module
+from bulrushdale.routing import routes
+from bulrushdale.routing import selection as selection_module
+from bulrushdale.routing import targets as targets_module
+
+SERVICE = "chat"
+DRAIN_MS = 2_000
+LISTING = targets_module.Listing(
+    target_id="",
+    born_ms=100,
+    service=SERVICE,
+    address="",
+    data_centre="dc1",
+    slots=64,
+    leaving=False,
+    slow_start_ms=0,
+)
+ROUTE = routes.Route(
+    name="chat",
+    host="chat.example",
+    path_prefix="/",
+    kind=routes.Kind.STREAM,
+    timeout_ms=5_000,
+    target_time_ms=500,
+    max_pause_ms=200,
+    priority=0,
+    shares=(routes.Share(SERVICE, 1),),
+    max_attempts=1,
+    public=True,
+    by_prefix=True,
+    resumable=False,
+)
+CALL = calls.Call(
+    request_id="q1",
+    method="POST",
+    host="chat.example",
+    path="/",
+    raw_target="/",
+    headers=(),
+    body=b"",
+    key="",
+    deadline_ms=None,
+    resume_after=None,
+    prompt=(),
+    prompt_tokens=2_009,
+    output_tokens=100,
+)
+
+
+def listing(name, **changes):
+    return dataclasses.replace(
+        LISTING, target_id=name, address=f"10.0.0.{name}:80", **changes
+    )
+
+
+class Fleet:
+    """One router's view of some targets."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.targets = targets_module.Targets(clock, DRAIN_MS)
+        self.overrides = overrides_module.Overrides(clock)
+        self.selection = selection_module.Selection(
+            "dc1",
+            self.targets,
+            peers_module.Peers("10.0.1.1:1", "dc1", 0, clock),
+            self.overrides,
+            clock,
+        )
+        for name in ("1", "2", "3", "4"):
+            self.targets.put(listing(name))
+
+    def place(self, prefix="p", tokens=2_000):
+        parts = (calls.PromptPart(prefix, tokens), calls.PromptPart("own", 9))
+        call = dataclasses.replace(CALL, prompt=parts)
+        return self.selection.choose(call, ROUTE, SERVICE, ())
+
+    def home(self, prefix="p"):
+        return self.place(prefix).target
+
+
+@pytest.fixture
+def fleet(clock):
+    """Four targets that are there from the start."""
+    return Fleet(clock)
+
+
+def test_nothing_is_copied_where_a_prefix_lives(fleet):
+    choice = fleet.place()
+    assert choice.cache_at is None
+    assert fleet.place().target is choice.target
+
+
+def test_prefix_that_spills_over_is_copied(fleet):
+    """A hot prefix: its target is above the bound, and reads no more."""
+    home = fleet.home()
+    home.in_flight = 60
+    choice = fleet.place()
+    assert choice.target is not home
+    assert choice.cache_at is home
+
+
+def test_prefix_that_moved_is_copied_from_where_it_moved_to(fleet):
+    home = fleet.home()
+    home.in_flight = 60
+    second = fleet.place().target
+    home.in_flight = 0
+    second.in_flight = 60
+    choice = fleet.place()
+    assert choice.cache_at is second
+
+
+def test_short_prefix_is_read_again(fleet):
+    fleet.home().in_flight = 60
+    tokens = selection_module.COPIED_TOKENS_MIN - 1
+    assert fleet.place(tokens=tokens).cache_at is None
+
+
+def test_nothing_is_copied_from_what_cannot_be_reached(fleet):
+    """Else the target waits for its connection, and the caller with it."""
+    home = fleet.home()
+    home.health.unreachable = True
+    choice = fleet.place()
+    assert choice.target is not home
+    assert choice.cache_at is None
+
+
+def test_prefixes_of_a_leaving_target_are_copied_until_it_ends(fleet):
+    home = fleet.home()
+    fleet.targets.put(listing(home.target_id, leaving=True))
+    choice = fleet.place()
+    assert choice.target is not home
+    assert choice.cache_at is home
+    fleet.targets.remove(home.target_id)
+    other = [f"p{n}" for n in range(40)]
+    assert home not in [fleet.place(prefix).cache_at for prefix in other]
+
+
+def test_prefixes_of_a_target_removed_without_a_word(fleet):
+    """It serves on for the drain time; after that it may be gone."""
+    prefixes = [f"p{n}" for n in range(40)]
+    home = fleet.home(prefixes[0])
+    at_home = [name for name in prefixes if fleet.home(name) is home]
+    fleet.targets.remove(home.target_id)
+    assert fleet.place(at_home[0]).cache_at is home
+    fleet.clock.advance(DRAIN_MS)
+    assert fleet.place(at_home[1]).cache_at is None
+
+
+def test_nothing_is_copied_from_an_address_that_another_target_has(fleet):
+    home = fleet.home()
+    home.in_flight = 60
+    moved = fleet.place().target
+    home.in_flight = 0
+    moved.leaving = True
+    assert fleet.place().cache_at is None
+
+
+def test_others_learn_where_prefixes_of_a_target_that_left_went(fleet):
+    """Else each router would place them anew when the next target joins.
+
+    A release replaces targets one by one: without the news a prefix moved
+    again with each of them, though it was in use all the time.
+    """
+    home = fleet.home()
+    fleet.targets.put(listing(home.target_id, leaving=True))
+    fleet.targets.remove(home.target_id)
+    moved_to = fleet.place().target
+    key = hashing.hash64(b"p")
+    assert fleet.overrides.take_updates() == {key: moved_to.target_id}
+    for number in range(5, 25):
+        fleet.targets.put(listing(str(number)))
+    assert fleet.place().target is moved_to
