Register before looking for other routers; look again only if none is heard

Cause of needless calls to the store on grown sites: every router read the list of routers while the others were still registering, found few, and read the store for itself until it looked again after 15 s; and each looked again every 15 s for good.

Now a router registers first, so that of two that start at once the later one finds the other and its reports tell the earlier one.

--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -236,13 +236,13 @@
             self._follow(
                 "targets", store_module.TARGETS_TOPIC, 0, TARGETS_INTERVAL_MS
             ),
-            registry.follow(self._store, self._peers, self._clock),
-            registry.register(
+            registry.follow(
                 self._store,
                 f"{self.settings.host}:{self.settings.link_port}",
                 reports.Member(
                     self.settings.data_centre, self.settings.link_mbps
                 ),
+                self._peers,
                 self._clock,
             ),
             self._every(peers_module.REPORT_INTERVAL_MS, self._report),
--- a/src/bulrushdale/platform/registry.py
+++ b/src/bulrushdale/platform/registry.py
@@ -14,9 +14,9 @@
 
 # Reports between routers name the others too; the store is for those that
 # hear none, because they start or were cut off. Each call to it is paid for;
-# a router that missed the others at its start finds them within this time.
+# a router that lost all others finds them within this time.
 READ_INTERVAL_MS = 15_000
-# Registering is tried again after this; the store is away or has just come.
+# A start that the store did not answer is tried again after this.
 RETRY_DELAY_MS = 1_000
 
 
@@ -41,27 +41,64 @@
 
 async def follow(
     store: store_module.Store,
+    address: str,
+    member: reports.Member,
     peers: peers_module.Peers,
     clock: clock_module.Clock,
 ) -> None:
-    """Read where other routers are, until cancelled.
+    """Tell the others where this router is, and find them; until cancelled.
+
+    A router reads after it has registered: of two that start at once the
+    later one finds the other, and its reports tell the earlier one of it.
 
     :param store: the platform's store.
-    :param peers: is told of them.
+    :param address: IP and port of this router's links.
+    :param member: where it runs.
+    :param peers: is told of the others.
     :param clock: the clock.
     """
+    registered = found = False
+    while not (registered and found):
+        registered = registered or await _register(store, address, member)
+        found = await _find(store, peers)
+        if not (registered and found):
+            await clock.sleep_ms(RETRY_DELAY_MS)
     while True:
-        try:
-            page = await store.newest(store_module.ROUTERS_TOPIC)
-        except records_module.SourceError as error:
-            LOG.warning(
-                "routers can't be read",
-                extra={"event": "router.list", "reason": str(error)},
-            )
-        else:
-            for record in page.records:
-                _introduce(peers, record)
         await clock.sleep_ms(READ_INTERVAL_MS)
+        if not peers.live():
+            await _find(store, peers)
+
+
+async def _register(
+    store: store_module.Store, address: str, member: reports.Member
+) -> bool:
+    """Tell the others where this router is; return whether it was stored."""
+    try:
+        await store.append(
+            store_module.ROUTERS_TOPIC, address, encode_member(member)
+        )
+    except records_module.SourceError as error:
+        LOG.warning(
+            "router not registered yet",
+            extra={"event": "router.unregistered", "reason": str(error)},
+        )
+        return False
+    return True
+
+
+async def _find(store: store_module.Store, peers: peers_module.Peers) -> bool:
+    """Read where the others are; return whether the store answered."""
+    try:
+        page = await store.newest(store_module.ROUTERS_TOPIC)
+    except records_module.SourceError as error:
+        LOG.warning(
+            "routers can't be read",
+            extra={"event": "router.list", "reason": str(error)},
+        )
+        return False
+    for record in page.records:
+        _introduce(peers, record)
+    return True
 
 
 def _introduce(
@@ -80,30 +117,3 @@
         )
         return
     peers.introduce(record.key, member)
-
-
-async def register(
-    store: store_module.Store,
-    address: str,
-    member: reports.Member,
-    clock: clock_module.Clock,
-) -> None:
-    """Tell the other routers where this one is; tries until it is done.
-
-    :param store: the platform's store.
-    :param address: IP and port of this router's links.
-    :param member: where it runs.
-    :param clock: the clock.
-    """
-    while True:
-        try:
-            await store.append(
-                store_module.ROUTERS_TOPIC, address, encode_member(member)
-            )
-            return
-        except records_module.SourceError as error:
-            LOG.warning(
-                "router not registered yet",
-                extra={"event": "router.unregistered", "reason": str(error)},
-            )
-            await clock.sleep_ms(RETRY_DELAY_MS)
