One request's account split from its exchange; targets report their part

What is logged and counted of a request is a class of its own; the emulator's copy of the report's building is gone.

--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -119,12 +119,7 @@
             routers=1,
             whole_fleet=False,
             store_up_ms=0,
-            targets={
-                t.target_id: reports.TargetReport(
-                    t.in_flight, t.health.results()
-                )
-                for t in self.targets.all()
-            },
+            targets=self.targets.reports(),
             members={},
             places={},
         )
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -1,15 +1,12 @@
 """Passes one request on to targets until it has a final answer."""
 
-import logging
-import typing
-
 import aiohttp
 from aiohttp import web
 import multidict
 
+from bulrushdale.forwarding import account
 from bulrushdale.forwarding import attempt
 from bulrushdale.forwarding import events
-from bulrushdale.forwarding import metrics as metrics_module
 from bulrushdale.forwarding import parts as parts_module
 from bulrushdale import results
 from bulrushdale.routing import access
@@ -21,8 +18,6 @@
 from bulrushdale.routing import targets as targets_module
 from bulrushdale.routing import timeouts
 
-LOG = logging.getLogger(__name__)
-
 # Targets that a request is offered to, those included that did not run it.
 MAX_OFFERS = 4
 # Where a caller names no deadline the route's timeout is the only one.
@@ -55,6 +50,7 @@
         "_slot_free",
         "_response",
         "_splitter",
+        "_account",
     )
 
     def __init__(
@@ -85,6 +81,15 @@
         self._slot_free = False
         self._response: web.StreamResponse | None = None
         self._splitter = events.Splitter(call.resume_after)
+        self._account = account.Account(
+            parts.metrics,
+            parts.clock,
+            received_ms,
+            admitted.route.kind.value,
+            request_id=call.request_id,
+            route=admitted.route.name,
+            service=self._service,
+        )
 
     @property
     def _route(self) -> routes.Route:
@@ -93,35 +98,6 @@
     def _left_ms(self) -> int:
         return self._deadline_ms - self._parts.clock.now_ms()
 
-    def _log(self, event: str, **fields: typing.Any) -> None:
-        LOG.info(
-            event,
-            extra={
-                "event": event,
-                "request_id": self._call.request_id,
-                "route": self._route.name,
-                "service": self._service,
-                "after_ms": self._parts.clock.now_ms() - self._received_ms,
-                **fields,
-            },
-        )
-
-    def _count_attempt(self, outcome: str) -> None:
-        self._parts.metrics.attempts.add(1, {"outcome": outcome})
-
-    def _record(self, instrument: metrics_module.Histogram) -> None:
-        after_ms = self._parts.clock.now_ms() - self._received_ms
-        instrument.record(after_ms, {"kind": self._route.kind.value})
-
-    def _answered(self, target: targets_module.Target, status: int) -> None:
-        """Count a final answer of a target."""
-        self._count_attempt("answered")
-        self._record(self._parts.metrics.answer_ms)
-        self._parts.metrics.requests.add(
-            1, {"kind": self._route.kind.value, "outcome": str(status)}
-        )
-        self._log("request.answered", target=target.target_id, status=status)
-
     async def run(self) -> web.StreamResponse:
         """Return the final answer.
 
@@ -169,7 +145,7 @@
         self._retry_taken = False
         target, cache_at = choice.target, choice.cache_at
         self._tried.add(target.target_id)
-        self._log(
+        self._account.log(
             "request.placed",
             target=target.target_id,
             load=self._parts.selection.load(target),
@@ -185,7 +161,7 @@
     def _end(self, detail: str) -> Exception:
         """Return the error that ends the request without an answer."""
         if self._response is not None:
-            self._log("request.cut", detail=detail)
+            self._account.log("request.cut", detail=detail)
             return ConnectionResetError(detail)
         if self._runs:
             late = self._left_ms() <= 0
@@ -294,12 +270,12 @@
     def _note_not_run(
         self, target: targets_module.Target, outcome: attempt.NotRun
     ) -> None:
-        self._log(
+        self._account.log(
             "request.not_run",
             target=target.target_id,
             reason=outcome.reason,
         )
-        self._count_attempt("rejected" if outcome.sent else "unreachable")
+        self._account.attempt("rejected" if outcome.sent else "unreachable")
         if outcome.sent:
             self._offers += 1
         else:
@@ -313,8 +289,10 @@
         :raises Exception: that ends the request if it may not run again.
         """
         target.health.note(failed=True)
-        self._count_attempt("failed")
-        self._log("request.failed", target=target.target_id, reason=reason)
+        self._account.attempt("failed")
+        self._account.log(
+            "request.failed", target=target.target_id, reason=reason
+        )
         if not self._may_run_again():
             raise self._end(reason)
 
@@ -336,8 +314,8 @@
         if head.success and self._slot_free:
             took_ms = self._parts.clock.now_ms() - self._sent_ms
             self._parts.selection.note_work(self._service, took_ms)
-        self._record(self._parts.metrics.first_event_ms)
-        self._answered(target, head.status)
+        self._account.first_event()
+        self._account.answered(target.target_id, head.status)
         return web.Response(
             status=head.status,
             body=body,
@@ -356,7 +334,7 @@
             self._note_failed(target, fault)
             return None
         target.health.note(failed=False)
-        self._answered(target, opened.head.status)
+        self._account.answered(target.target_id, opened.head.status)
         response = await self._begun(opened.head)
         await response.write_eof()
         return response
@@ -399,7 +377,7 @@
             )
             if self._parts.draining():
                 self._response.force_close()
-            self._log("request.first_event")
-            self._record(self._parts.metrics.first_event_ms)
+            self._account.log("request.first_event")
+            self._account.first_event()
             await self._response.prepare(self._request)
         return self._response
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -286,13 +286,6 @@
 
     async def _report(self) -> None:
         self._sequence += 1
-        parts = {}
-        for target in self._targets.all():
-            results = target.health.results()
-            if target.in_flight or results.done:
-                parts[target.target_id] = reports.TargetReport(
-                    target.in_flight, results
-                )
         self._links.send(
             reports.Report(
                 address=f"{self.settings.host}:{self.settings.link_port}",
@@ -302,7 +295,7 @@
                 routers=1,
                 whole_fleet=False,
                 store_up_ms=self._feeds["targets"].up_ms(),
-                targets=parts,
+                targets=self._targets.reports(),
                 members=self._peers.members(),
                 places=self._overrides.take_updates(),
                 link_mbps=self.settings.link_mbps,
--- a/src/bulrushdale/routing/targets.py
+++ b/src/bulrushdale/routing/targets.py
@@ -6,6 +6,7 @@
 
 from bulrushdale import clock as clock_module
 from bulrushdale.routing import health as health_module
+from bulrushdale.routing import reports as reports_module
 
 LOG = logging.getLogger(__name__)
 
@@ -236,6 +237,17 @@
         """Return every listed target."""
         return self._targets.values()
 
+    def reports(self) -> dict[str, reports_module.TargetReport]:
+        """Return this router's part in the load of the targets it uses."""
+        found = {}
+        for target in self.all():
+            results = target.health.results()
+            if target.in_flight or results.done:
+                found[target.target_id] = reports_module.TargetReport(
+                    target.in_flight, results
+                )
+        return found
+
     def settled(self, service: str) -> list[str]:
         """Return the targets of a service that stay and are no newcomers.
 
