--- a/bench/model.py
+++ b/bench/model.py
@@ -14,6 +14,7 @@
 from bulrushdale.admission import bound
 from bulrushdale.admission import desk as desk_module
 from bulrushdale.admission import queue
+from bulrushdale.admission import reply as reply_module
 from bulrushdale.catalogue import entries
 from bulrushdale import clock as clock_module
 from bulrushdale.fleet import targets
@@ -313,7 +314,7 @@
             desk = self.desks[targets.shard_of(name, self.load.shards)]
         seq = next(self.order)
 
-        def granted(reply: desk_module.Reply) -> None:
+        def granted(reply: reply_module.Reply) -> None:
             if reply.code:
                 self.report.refused += 1
                 return
@@ -344,7 +345,7 @@
             )
         )
 
-    def answered(self, ask: queue.Ask, reply: desk_module.Reply) -> None:
+    def answered(self, ask: queue.Ask, reply: reply_module.Reply) -> None:
         """Take a desk's reply."""
         self.granted.pop(ask.seq)(reply)
 
--- a/src/bulrushdale/admission/desk.py
+++ b/src/bulrushdale/admission/desk.py
@@ -1,7 +1,6 @@
 """The home of one shard of targets: it grants their slots."""
 
 import collections
-import dataclasses
 import math
 import random
 import typing
@@ -10,6 +9,8 @@
 from bulrushdale.admission import choice
 from bulrushdale.admission import ledger
 from bulrushdale.admission import queue
+from bulrushdale.admission import reply as reply_module
+from bulrushdale.admission import room as room_module
 from bulrushdale.catalogue import entries
 from bulrushdale import clock as clock_module
 from bulrushdale.fleet import targets as targets_module
@@ -24,57 +25,7 @@
 RESERVE_SHARE = 0.1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reply:
-    """The answer to an :class:`~bulrushdale.admission.queue.Ask`.
-
-    :param code: zero grants the slot; else why it is refused.
-    :param target: where to start.
-    :param retry_after_ms: when to come back after a refusal, in ms.
-    :param reason: why the target was chosen.
-    :param bound: the target's bound at the time.
-    :param waited_ms: how long the request waited at the home, in ms.
-    """
-
-    code: results.Code
-    target: str = ""
-    retry_after_ms: int = 0
-    reason: choice.Reason = choice.Reason.NONE
-    bound: int = 0
-    waited_ms: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Place:
-    """Where a request may start.
-
-    :param target: the target.
-    :param reason: why it was chosen.
-    :param bound: its bound.
-    :param near: whether the request's cache is there, or it has none yet.
-    """
-
-    target: str
-    reason: choice.Reason
-    bound: int
-    near: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Room:
-    """What is free on a shard's targets.
-
-    :param loads: the load of each.
-    :param bounds: the bound of each that may get work.
-    :param free: those below their bound.
-    """
-
-    loads: dict[str, int]
-    bounds: dict[str, int]
-    free: list[str]
-
-
-Answer = typing.Callable[[queue.Ask, Reply], None]
+Answer = typing.Callable[[queue.Ask, reply_module.Reply], None]
 Choose = typing.Callable[
     [int, str | None, list[str], list[str], dict[str, int]],
     tuple[str, choice.Reason],
@@ -211,7 +162,9 @@
         """Refuse, spreading the callers' return over a time."""
         spread_ms = wait_ms * (0.5 + self._rng.random())
         retry_ms = min(MOST_RETRY_MS, max(LEAST_RETRY_MS, spread_ms))
-        self._answer(ask, Reply(code, retry_after_ms=int(retry_ms)))
+        self._answer(
+            ask, reply_module.Reply(code, retry_after_ms=int(retry_ms))
+        )
 
     def _bound(
         self, target: targets_module.Target, total: int, count: int
@@ -225,16 +178,18 @@
             limit = max(1, math.floor(limit * ramp))
         return min(limit, target.slots)
 
-    def _place(self, ask: queue.Ask, targets: Targets) -> Place | None:
+    def _place(
+        self, ask: queue.Ask, targets: Targets
+    ) -> room_module.Place | None:
         """Return where a request may start now, if anywhere."""
         return self._place_in(ask, targets, self._room(targets))
 
-    def _room(self, targets: Targets) -> Room:
+    def _room(self, targets: Targets) -> room_module.Room:
         """Return the load and the bound of each target now."""
         self._ledger.age()
         standing = self._standing()
         if not targets or not standing.majority:
-            return Room({}, {}, [])
+            return room_module.Room({}, {}, [])
         self._ledger.follow(standing)
         loads = {
             target.name: self._ledger.most_load(target.name, standing)
@@ -252,11 +207,11 @@
             if self._ledger.reported(target.name, standing)
         }
         free = [name for name, limit in bounds.items() if loads[name] < limit]
-        return Room(loads, bounds, free)
+        return room_module.Room(loads, bounds, free)
 
     def _place_in(
-        self, ask: queue.Ask, targets: Targets, room: Room
-    ) -> Place | None:
+        self, ask: queue.Ask, targets: Targets, room: room_module.Room
+    ) -> room_module.Place | None:
         free = room.free
         if ask.excluded:
             free = [name for name in free if name not in ask.excluded]
@@ -268,7 +223,7 @@
         )
         new_and_near = chat_target is None and reason == choice.Reason.PREFIX
         near = reason == choice.Reason.CHAT or new_and_near
-        return Place(name, reason, room.bounds[name], near)
+        return room_module.Place(name, reason, room.bounds[name], near)
 
     def unsettled(self) -> bool:
         """Return whether reports may still show more room on targets."""
@@ -291,7 +246,7 @@
         reserve = math.ceil(RESERVE_SHARE * capacity)
         return capacity - self.in_flight > reserve
 
-    def _grant(self, ask: queue.Ask, place: Place) -> None:
+    def _grant(self, ask: queue.Ask, place: room_module.Place) -> None:
         now_ms = self._clock.now_ms()
         self._ledger.grant(
             (ask.router, ask.seq),
@@ -300,7 +255,7 @@
         self._queue.charge(ask.team, ask.weight)
         if ask.chat:
             self._remember(ask.chat, place.target)
-        reply = Reply(
+        reply = reply_module.Reply(
             results.Code.OK,
             place.target,
             0,
@@ -345,7 +300,9 @@
         self._ledger.add((ask.router, ask.seq), slot)
         self._answer(
             ask,
-            Reply(results.Code.OK, target, reason=choice.Reason.RESUME),
+            reply_module.Reply(
+                results.Code.OK, target, reason=choice.Reason.RESUME
+            ),
         )
 
     def attach(
@@ -410,7 +367,9 @@
             if not room.free:
                 return
 
-            def place(ask: queue.Ask, room: Room = room) -> Place | None:
+            def place(
+                ask: queue.Ask, room: room_module.Room = room
+            ) -> room_module.Place | None:
                 return self._place_in(ask, targets, room)
 
             taken = self._queue.take(place, lambda found: found.near)
--- a/src/bulrushdale/admission/desks.py
+++ b/src/bulrushdale/admission/desks.py
@@ -7,6 +7,7 @@
 from bulrushdale.admission import bound
 from bulrushdale.admission import desk as desk_module
 from bulrushdale.admission import queue
+from bulrushdale.admission import reply as reply_module
 from bulrushdale.admission import scope as scope_module
 from bulrushdale.admission import seat as seat_module
 from bulrushdale.control import control_pb2 as pb
@@ -21,7 +22,7 @@
 ORPHAN_MEMORY_MS = 20_000
 
 AnswerOwn = typing.Callable[
-    [seat_module.ShardKey, queue.Ask, desk_module.Reply], None
+    [seat_module.ShardKey, queue.Ask, reply_module.Reply], None
 ]
 
 
@@ -41,13 +42,7 @@
         answer_own: AnswerOwn,
         rng: random.Random,
     ) -> None:
-        self._own = scope.own
-        self._view = scope.view
-        self._targets = scope.targets
-        self._members = scope.members
-        self._links = scope.links
-        self._clock = scope.clock
-        self._lease_ms = scope.lease_ms
+        self._scope = scope
         self._answer_own = answer_own
         self._rng = rng
         self._desks: dict[seat_module.ShardKey, desk_module.Desk] = {}
@@ -69,21 +64,21 @@
     def _open(self, key: seat_module.ShardKey) -> desk_module.Desk:
         pool, shard = key
         return desk_module.Desk(
-            usable=lambda: self._targets.of_shard(pool, shard),
-            promise=self._view.promise,
+            usable=lambda: self._scope.targets.of_shard(pool, shard),
+            promise=self._scope.view.promise,
             team_limits=lambda team: self._team_limits(team, pool),
-            ramp=self._targets.ramp,
+            ramp=self._scope.targets.ramp,
             standing=lambda: self.standing(key),
             answer=lambda ask, reply: self._answer(key, ask, reply),
-            clock=self._clock,
+            clock=self._scope.clock,
             rng=self._rng,
         )
 
     def _team_limits(self, name: str, pool: str) -> tuple[int, int]:
-        team = self._view.team(name)
+        team = self._scope.view.team(name)
         if team is None:
             return 0, 0
-        shards = self._targets.shard_count(pool)
+        shards = self._scope.targets.shard_count(pool)
         in_flight = max(1, team.max_in_flight // shards)
         return in_flight, max(1, team.max_queued // shards)
 
@@ -93,7 +88,7 @@
         It is worked out anew every few ms, which is far less than any
         lease leaves.
         """
-        now_ms = self._clock.now_ms()
+        now_ms = self._scope.clock.now_ms()
         known = self._standings.get(key)
         if known is not None and known[0] // STANDING_MS == (
             now_ms // STANDING_MS
@@ -110,15 +105,15 @@
         now_ms: int,
     ) -> bound.Standing:
         attached = {r for r in self._attached[key] if self._lease_holds(r)}
-        everyone = attached.union(self._members.share_names())
-        settled = not self._members.lost_since(ORPHAN_MEMORY_MS)
+        everyone = attached.union(self._scope.members.share_names())
+        settled = not self._scope.members.lost_since(ORPHAN_MEMORY_MS)
         majority = bound.has_majority(attached, everyone)
         # A home that had no majority, or did not look for so long that it
         # may have had none, starts anew: another may have granted.
         goes_on = (
             known is not None
             and known[1].majority
-            and now_ms - known[0] < self._lease_ms
+            and now_ms - known[0] < self._scope.lease_ms
         )
         since_ms = known[1].since_ms if known and goes_on else now_ms
         return bound.Standing(
@@ -136,23 +131,23 @@
         return self.standing(key).majority
 
     def _lease_holds(self, router: str) -> bool:
-        if router == self._own:
+        if router == self._scope.own:
             return True
-        link = self._links.get(router)
+        link = self._scope.links.get(router)
         if link is None or link.echo_ms is None:
             return False
-        return self._clock.now_ms() - link.echo_ms < self._lease_ms
+        return self._scope.clock.now_ms() - link.echo_ms < self._scope.lease_ms
 
     def _answer(
         self,
         key: seat_module.ShardKey,
         ask: queue.Ask,
-        reply: desk_module.Reply,
+        reply: reply_module.Reply,
     ) -> None:
-        if ask.router == self._own:
+        if ask.router == self._scope.own:
             self._answer_own(key, ask, reply)
             return
-        link = self._links.get(ask.router)
+        link = self._scope.links.get(ask.router)
         if link is None:
             return
         link.queue().slot_replies.add(
@@ -162,7 +157,7 @@
             retry_after_ms=reply.retry_after_ms,
             reason=int(reply.reason),
             bound=reply.bound,
-            waited_ms=self._clock.now_ms() - ask.asked_ms,
+            waited_ms=self._scope.clock.now_ms() - ask.asked_ms,
         )
 
     def attach(
@@ -187,7 +182,7 @@
             return
         ask = self._read(request, router)
         for name in ask.excluded:
-            self._targets.note_failure(name)
+            self._scope.targets.note_failure(name)
         if request.resumed:
             self.desk(key).resume(ask, request.resumed)
         else:
@@ -197,10 +192,10 @@
         """Return a request with what its router left to the catalogue."""
         name = request.service_class
         if not name:
-            team = self._view.team(request.team)
+            team = self._scope.view.team(request.team)
             name = team.class_of_service if team is not None else ""
-        paid = self._view.service_class(name)
-        now_ms = self._clock.now_ms()
+        paid = self._scope.view.service_class(name)
+        now_ms = self._scope.clock.now_ms()
         chat = request.chat
         if request.chat_is_affinity:
             chat = request.affinity
@@ -232,7 +227,7 @@
                 continue
             attached.discard(router)
             self._expire_standing(key)
-            member = self._members.get(router)
+            member = self._scope.members.get(router)
             dead = member is None or member.refused
             hold_ms = DEAD_HOLD_MS if dead else CUT_HOLD_MS
             self.desk(key).orphan(router, hold_ms)
@@ -264,17 +259,17 @@
         """Return the targets that this router has to probe."""
         found = []
         for pool, shard in self.active():
-            count = self._targets.shard_count(pool)
+            count = self._scope.targets.shard_count(pool)
             found += [
                 target
-                for target in self._targets.of_pool(pool)
+                for target in self._scope.targets.of_pool(pool)
                 if targets_module.shard_of(target.name, count) == shard
             ]
         return found
 
     def note_report(self, target: targets_module.Target) -> None:
         """Compare what a target reports with what was granted."""
-        count = self._targets.shard_count(target.pool)
+        count = self._scope.targets.shard_count(target.pool)
         key = (target.pool, targets_module.shard_of(target.name, count))
         if not target.failed:
             self.desk(key).note_report(target.name, target.reported)
--- /dev/null
+++ b/src/bulrushdale/admission/messages.py
@@ -0,0 +1,68 @@
+"""What routers and homes say to each other about slots."""
+
+from collections import abc
+
+from bulrushdale.admission import choice
+from bulrushdale.admission import reply as reply_module
+from bulrushdale.admission import seat as seat_module
+from bulrushdale.control import control_pb2 as pb
+from bulrushdale.fleet import targets as targets_module
+from bulrushdale import hashing
+from bulrushdale import results
+
+
+def request(
+    key: seat_module.ShardKey,
+    seq: int,
+    need: seat_module.Need,
+    wait_ms: int,
+    traceparent: str,
+) -> pb.SlotRequest:
+    """Return a request for a slot, without what the home knows by itself.
+
+    :param key: pool and shard.
+    :param seq: the number that the reply refers to.
+    :param need: what the slot is for.
+    :param wait_ms: how long the home may let it wait, in ms.
+    :param traceparent: the trace context; empty if there is none.
+    """
+    message = pb.SlotRequest(
+        seq=seq,
+        pool=key[0],
+        shard=key[1],
+        affinity=need.affinity,
+        chat_is_affinity=need.chat == need.affinity,
+        team=need.team,
+        service_class=need.service_class if need.lowered else "",
+        tokens=need.tokens,
+        traceparent=traceparent,
+    )
+    if not message.chat_is_affinity:
+        message.chat = need.chat
+    if wait_ms < need.wait_ms:
+        message.wait_ms = max(1, wait_ms)
+    return message
+
+
+def reply(
+    message: pb.SlotReply, targets: abc.Iterable[targets_module.Target]
+) -> reply_module.Reply:
+    """Return a home's reply.
+
+    :param message: the reply, which names its target by a hash.
+    :param targets: those of the pool that are known here; the reply's
+        target is empty if it isn't among them yet.
+    """
+    name = ""
+    for target in targets:
+        if hashing.name_hash(target.name) == message.target:
+            name = target.name
+            break
+    return reply_module.Reply(
+        results.Code(message.code),
+        name,
+        message.retry_after_ms,
+        choice.Reason(message.reason),
+        message.bound,
+        message.waited_ms,
+    )
--- a/src/bulrushdale/admission/seat.py
+++ b/src/bulrushdale/admission/seat.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from bulrushdale.admission import desk as desk_module
+from bulrushdale.admission import reply as reply_module
 from bulrushdale.control import control_pb2 as pb
 
 # A pool's name and the number of one of its shards.
@@ -60,7 +60,7 @@
         self,
         seat: "Seat",
         seq: int,
-        reply: desk_module.Reply,
+        reply: reply_module.Reply,
         waited_ms: int,
         granted_ms: int,
     ) -> None:
@@ -79,7 +79,7 @@
     """A request for a slot that has no answer yet."""
 
     request: pb.SlotRequest
-    future: "asyncio.Future[desk_module.Reply]"
+    future: "asyncio.Future[reply_module.Reply]"
     sent_ms: int
 
 
--- a/src/bulrushdale/admission/seats.py
+++ b/src/bulrushdale/admission/seats.py
@@ -4,11 +4,12 @@
 import itertools
 import typing
 
-from bulrushdale.admission import choice
 from bulrushdale.admission import desk as desk_module
 from bulrushdale.admission import desks as desks_module
 from bulrushdale.admission import homes
+from bulrushdale.admission import messages
 from bulrushdale.admission import queue
+from bulrushdale.admission import reply as reply_module
 from bulrushdale.admission import scope as scope_module
 from bulrushdale.admission import seat as seat_module
 from bulrushdale.control import control_pb2 as pb
@@ -41,13 +42,7 @@
         scope: scope_module.Scope,
         traceparent: typing.Callable[[], str] = str,
     ) -> None:
-        self._own = scope.own
-        self._view = scope.view
-        self._targets = scope.targets
-        self._members = scope.members
-        self._links = scope.links
-        self._clock = scope.clock
-        self._lease_ms = scope.lease_ms
+        self._scope = scope
         self._traceparent = traceparent
         self._kept_for: tuple[list[str], int] = ([], -1)
         self._assigned_for: tuple[list[str], set[seat_module.ShardKey]] = (
@@ -80,9 +75,9 @@
         :raises bulrushdale.results.RefusedError: if there is none in time.
         """
         seat = self._seat(need.pool, self._shard(need))
-        started_ms = self._clock.now_ms()
+        started_ms = self._scope.clock.now_ms()
         while True:
-            left_ms = need.wait_ms - (self._clock.now_ms() - started_ms)
+            left_ms = need.wait_ms - (self._scope.clock.now_ms() - started_ms)
             reply, fresh, seq = await self._ask(seat, need, excluded, left_ms)
             if reply.code != results.Code.OK:
                 raise results.refuse(
@@ -90,14 +85,14 @@
                     f"no slot in pool {need.pool}",
                     reply.retry_after_ms,
                 )
-            now_ms = self._clock.now_ms()
+            now_ms = self._scope.clock.now_ms()
             grant = seat_module.Grant(
                 seat, seq, reply, now_ms - started_ms, now_ms
             )
             if fresh and grant.target:
                 return grant
             self.release(grant)
-            await self._clock.sleep_ms(AGAIN_MS)
+            await self._scope.clock.sleep_ms(AGAIN_MS)
 
     async def resume(
         self, need: seat_module.Need, target: str
@@ -107,24 +102,26 @@
         :param need: the team and pool of the answer.
         :param target: where it runs.
         """
-        shards = self._targets.shard_count(need.pool)
+        shards = self._scope.targets.shard_count(need.pool)
         shard = targets_module.shard_of(target, shards)
         seat = self._seat(need.pool, shard)
-        started_ms = self._clock.now_ms()
+        started_ms = self._scope.clock.now_ms()
         reply, _, seq = await self._ask(
             seat, need, (), need.wait_ms, resumed=target
         )
-        now_ms = self._clock.now_ms()
+        now_ms = self._scope.clock.now_ms()
         return seat_module.Grant(seat, seq, reply, now_ms - started_ms, now_ms)
 
     def usable(self, grant: seat_module.Grant) -> bool:
         """Return whether a grant is recent enough to start work on it."""
-        age_ms = self._clock.now_ms() - grant.granted_ms
+        age_ms = self._scope.clock.now_ms() - grant.granted_ms
         return age_ms <= USE_LIMIT_MS
 
     def _shard(self, need: seat_module.Need) -> int:
-        shards = self._targets.shard_count(need.pool)
-        names = [target.name for target in self._targets.stable(need.pool)]
+        shards = self._scope.targets.shard_count(need.pool)
+        names = [
+            target.name for target in self._scope.targets.stable(need.pool)
+        ]
         if not names:
             raise results.refuse(
                 results.Code.NO_TARGET,
@@ -152,17 +149,21 @@
         excluded: tuple[str, ...],
         wait_ms: int,
         resumed: str = "",
-    ) -> tuple[desk_module.Reply, bool, int]:
+    ) -> tuple[reply_module.Reply, bool, int]:
         """Ask the home once.
 
         :return: its reply, whether it is recent, and the number asked by.
         """
         seq = next(self._seq) & SEQ_MASK
-        request = self._request(seat, seq, need, wait_ms)
+        request = messages.request(
+            seat.key, seq, need, wait_ms, self._traceparent()
+        )
         request.excluded.extend(excluded)
         request.resumed = resumed
         future = asyncio.get_running_loop().create_future()
-        waiting = seat_module.Waiting(request, future, self._clock.now_ms())
+        waiting = seat_module.Waiting(
+            request, future, self._scope.clock.now_ms()
+        )
         reply = await self._reply(seat, waiting, wait_ms)
         if reply.code == results.Code.OK:
             seat.held[seq] = pb.HeldSlot(
@@ -173,41 +174,16 @@
             )
         else:
             del self._asked[seq]
-        spent_ms = self._clock.now_ms() - waiting.sent_ms
+        spent_ms = self._scope.clock.now_ms() - waiting.sent_ms
         fresh = spent_ms - reply.waited_ms <= TRANSIT_LIMIT_MS
         return reply, fresh, seq
 
-    def _request(
-        self,
-        seat: seat_module.Seat,
-        seq: int,
-        need: seat_module.Need,
-        wait_ms: int,
-    ) -> pb.SlotRequest:
-        """Return the message, without what the home can tell by itself."""
-        request = pb.SlotRequest(
-            seq=seq,
-            pool=seat.key[0],
-            shard=seat.key[1],
-            affinity=need.affinity,
-            chat_is_affinity=need.chat == need.affinity,
-            team=need.team,
-            service_class=need.service_class if need.lowered else "",
-            tokens=need.tokens,
-            traceparent=self._traceparent(),
-        )
-        if not request.chat_is_affinity:
-            request.chat = need.chat
-        if wait_ms < need.wait_ms:
-            request.wait_ms = max(1, wait_ms)
-        return request
-
     async def _reply(
         self,
         seat: seat_module.Seat,
         waiting: seat_module.Waiting,
         wait_ms: int,
-    ) -> desk_module.Reply:
+    ) -> reply_module.Reply:
         """Send a request, again at each new home, until one replies."""
         seq = waiting.request.seq
         seat.waiting[seq] = waiting
@@ -234,11 +210,11 @@
     def _send(
         self, seat: seat_module.Seat, waiting: seat_module.Waiting
     ) -> None:
-        waiting.sent_ms = self._clock.now_ms()
-        if seat.home == self._own:
-            self._own_desks.ask(waiting.request, self._own)
+        waiting.sent_ms = self._scope.clock.now_ms()
+        if seat.home == self._scope.own:
+            self._own_desks.ask(waiting.request, self._scope.own)
             return
-        link = self._links.get(seat.home or "")
+        link = self._scope.links.get(seat.home or "")
         if link is not None:
             link.queue().slot_requests.append(waiting.request)
 
@@ -254,10 +230,10 @@
             self._give_back(seat.home, seq)
 
     def _give_back(self, home: str, seq: int) -> None:
-        if home == self._own:
-            self._own_desks.release(self._own, seq)
+        if home == self._scope.own:
+            self._own_desks.release(self._scope.own, seq)
             return
-        link = self._links.get(home)
+        link = self._scope.links.get(home)
         if link is not None:
             link.queue().releases.append(seq)
 
@@ -265,7 +241,7 @@
         self,
         key: seat_module.ShardKey,
         ask: queue.Ask,
-        reply: desk_module.Reply,
+        reply: reply_module.Reply,
     ) -> None:
         """Take the reply of one of this router's own desks."""
         waiting = self._seats[key].waiting.get(ask.seq)
@@ -286,36 +262,22 @@
         waiting = seat.waiting.get(message.seq)
         if waiting is None:
             return
-        reply = desk_module.Reply(
-            results.Code(message.code),
-            self._target_of(seat, message.target),
-            message.retry_after_ms,
-            choice.Reason(message.reason),
-            message.bound,
-            message.waited_ms,
-        )
-        self._settle(waiting, reply)
-
-    def _target_of(self, seat: seat_module.Seat, name_hash: int) -> str:
-        """Return the target of a hash; empty if it is not known here yet."""
-        for target in self._targets.of_pool(seat.key[0]):
-            if hashing.name_hash(target.name) == name_hash:
-                return target.name
-        return ""
+        targets = self._scope.targets.of_pool(seat.key[0])
+        self._settle(waiting, messages.reply(message, targets))
 
     def _settle(
-        self, waiting: seat_module.Waiting, reply: desk_module.Reply
+        self, waiting: seat_module.Waiting, reply: reply_module.Reply
     ) -> None:
         if not waiting.future.done():
             waiting.future.set_result(reply)
 
     def maintain(self) -> None:
         """Open missing seats and follow changes of the homes."""
-        for pool in self._view.pool_names():
-            for shard in range(self._targets.shard_count(pool)):
+        for pool in self._scope.view.pool_names():
+            for shard in range(self._scope.targets.shard_count(pool)):
                 self._seat(pool, shard)
-        eligible = self._members.eligible()
-        state = (eligible, self._view.generation)
+        eligible = self._scope.members.eligible()
+        state = (eligible, self._scope.view.generation)
         changed = state != self._kept_for
         self._kept_for = state
         for seat in self._seats.values():
@@ -333,11 +295,11 @@
             self._leave(seat)
 
     def _wanted_home(self, seat: seat_module.Seat) -> str:
-        names = self._members.eligible() or [self._own]
+        names = self._scope.members.eligible() or [self._scope.own]
         keys = {
             (pool, shard)
-            for pool in self._view.pool_names()
-            for shard in range(self._targets.shard_count(pool))
+            for pool in self._scope.view.pool_names()
+            for shard in range(self._scope.targets.shard_count(pool))
         }
         keys.add(seat.key)
         known = (names, keys)
@@ -350,28 +312,28 @@
         """Stop asking the old home, and wait until it knows."""
         old = typing.cast(str, seat.home)
         seat.home = None
-        now_ms = self._clock.now_ms()
-        if old == self._own:
-            self._own_desks.detach(seat.key, self._own)
+        now_ms = self._scope.clock.now_ms()
+        if old == self._scope.own:
+            self._own_desks.detach(seat.key, self._scope.own)
             self._attach(seat, self._wanted_home(seat))
             return
         seat.leaving = old
-        seat.free_ms = now_ms + self._lease_ms
-        link = self._links.get(old)
+        seat.free_ms = now_ms + self._scope.lease_ms
+        link = self._scope.links.get(old)
         if link is not None:
             link.queue().detaches.add(pool=seat.key[0], shard=seat.key[1])
         else:
-            member = self._members.get(old)
+            member = self._scope.members.get(old)
             if member is not None and member.heard_ms is not None:
-                seat.free_ms = member.heard_ms + self._lease_ms
+                seat.free_ms = member.heard_ms + self._scope.lease_ms
         self._finish_leaving(seat)
 
     def _finish_leaving(self, seat: seat_module.Seat) -> None:
         """Attach to the next home once the old one can't count on us."""
         old = typing.cast(str, seat.leaving)
-        member = self._members.get(old)
+        member = self._scope.members.get(old)
         gone = member is None or (member.refused and not member.linked)
-        if gone or self._clock.now_ms() >= seat.free_ms:
+        if gone or self._scope.clock.now_ms() >= seat.free_ms:
             seat.leaving = None
             self._attach(seat, self._wanted_home(seat))
 
@@ -385,10 +347,10 @@
     def _attach(self, seat: seat_module.Seat, home: str) -> None:
         seat.home = home
         held = list(seat.held.values())
-        if home == self._own:
-            self._own_desks.attach(seat.key, self._own, held)
+        if home == self._scope.own:
+            self._own_desks.attach(seat.key, self._scope.own, held)
         else:
-            link = self._links.get(home)
+            link = self._scope.links.get(home)
             if link is None:
                 return
             link.queue().attaches.add(
@@ -419,7 +381,9 @@
     def served(self) -> bool:
         """Return whether every home may grant, as far as is known here."""
         for seat in self._seats.values():
-            if seat.home == self._own and not self._own_desks.grants(seat.key):
+            if seat.home == self._scope.own and not self._own_desks.grants(
+                seat.key
+            ):
                 return False
         return True
 
--- a/src/bulrushdale/claims/holder.py
+++ b/src/bulrushdale/claims/holder.py
@@ -12,6 +12,7 @@
 from bulrushdale.claims import ledger as ledger_module
 from bulrushdale import clock as clock_module
 from bulrushdale.control import control_pb2 as pb
+from bulrushdale.fleet import link as link_module
 from bulrushdale.fleet import links as links_module
 from bulrushdale.fleet import members as members_module
 from bulrushdale import hashing
@@ -154,7 +155,7 @@
         return Decision(Verdict.UNAVAILABLE)
 
     async def _ask_peer(
-        self, link: links_module.Link, item: Item, timeout_ms: int
+        self, link: link_module.Link, item: Item, timeout_ms: int
     ) -> Decision | None:
         seq = next(self._seq) & 0xFFFFFFFF
         future = asyncio.get_running_loop().create_future()
@@ -218,7 +219,7 @@
         return await self.duty(item.key.partition).decide(item, timeout_ms)
 
     async def serve(
-        self, link: links_module.Link, message: pb.ClaimRequest
+        self, link: link_module.Link, message: pb.ClaimRequest
     ) -> None:
         """Answer a peer's request."""
         outcome = None
--- a/src/bulrushdale/daemon.py
+++ b/src/bulrushdale/daemon.py
@@ -25,14 +25,15 @@
 from bulrushdale.fleet import links as links_module
 from bulrushdale.fleet import members as members_module
 from bulrushdale.fleet import targets as targets_module
-from bulrushdale import parts as parts_module
+from bulrushdale import follower
+from bulrushdale import peering
 from bulrushdale.platform import log as log_module
 from bulrushdale.platform import vms
 from bulrushdale import settings as settings_module
 from bulrushdale import telemetry as telemetry_module
-from bulrushdale import traffic
 from bulrushdale.web import callers
 from bulrushdale.web import operators
+from bulrushdale.web import parts as parts_module
 
 LOG = logging.getLogger(__name__)
 
@@ -46,8 +47,6 @@
 CLAIMS_INTERVAL_MS = 2_000
 RETIRE_INTERVAL_MS = 30_000
 DRAIN_POLL_MS = 50
-# After this long without news of the platform a router reads for itself.
-NEWS_LIMIT_MS = 4_000
 
 
 def wire(
@@ -55,7 +54,7 @@
     clock: clock_module.Clock,
     session: aiohttp.ClientSession,
     once_session: aiohttp.ClientSession,
-) -> tuple[parts_module.Parts, traffic.Traffic]:
+) -> tuple[parts_module.Parts, peering.Peering]:
     """Build the parts of a router and connect them.
 
     :param settings: the router's settings.
@@ -81,7 +80,7 @@
     view = view_module.View(catalogue)
     targets = targets_module.Targets(view, settings.data_centre, clock)
     telemetry = telemetry_module.Telemetry(settings)
-    handlers = traffic.Traffic(clock)
+    handlers = peering.Peering(clock)
     links = links_module.Links(
         members,
         handlers,
@@ -165,9 +164,10 @@
                 connector=aiohttp.TCPConnector(limit=0, force_close=True)
             )
         )
-        self._parts, self._traffic = wire(
+        self._parts, peers = wire(
             self.settings, self._clock, session, once_session
         )
+        self._follower = follower.Follower(self._parts, peers, self._clock)
         self._add_gauges()
         listen = self.settings.listen
         await self._parts.links.start(listen.host, listen.link_port)
@@ -186,8 +186,8 @@
     def _jobs(self) -> list[tuple[int, Job]]:
         poll_ms = self.settings.platform.poll_interval_ms
         return [
-            (poll_ms, self._follow_log),
-            (poll_ms, self._follow_list),
+            (poll_ms, self._follower.follow_log),
+            (poll_ms, self._follower.follow_list),
             (SEATS_INTERVAL_MS, self._keep_seats),
             (PROBE_STEP_MS, self._probe),
             (CLAIMS_INTERVAL_MS, self._keep_claims),
@@ -241,54 +241,6 @@
         )
         gauge("links", "Standing links.", lambda: len(parts.links.all()))
 
-    def _stale(self, newest: typing.Iterable[int | None]) -> bool:
-        """Whether none of some readings of the platform is recent."""
-        times_ms = [time_ms for time_ms in newest if time_ms is not None]
-        if not times_ms:
-            return True
-        return self._clock.now_ms() - max(times_ms) > NEWS_LIMIT_MS
-
-    async def _follow_log(self) -> None:
-        parts = self._parts
-        members = parts.members
-        peers = members.linked(members.own.data_centre)
-        news = [parts.tail.read_ms, *(peer.log_read_ms for peer in peers)]
-        if not members.reads_log() and not self._stale(news):
-            return
-        try:
-            await parts.tail.poll()
-            if members.writes_snapshots() and parts.tail.snapshot_due(
-                self._snapshot_delay_ms()
-            ):
-                await parts.tail.append_snapshot()
-        except log_module.LogUnavailableError as error:
-            LOG.warning("the log can't be read: %s", error)
-
-    def _snapshot_delay_ms(self) -> int:
-        """Return a wait that lets one data centre go first."""
-        centres = sorted(
-            {m.data_centre for m in self._parts.members.everyone()}
-        )
-        place = centres.index(self.settings.data_centre)
-        return place * self.settings.platform.retention_ms // 64
-
-    async def _follow_list(self) -> None:
-        parts = self._parts
-        members = parts.members
-        peers = members.linked(members.own.data_centre)
-        news = [
-            self._traffic.list_read_ms,
-            *(peer.list_read_ms for peer in peers),
-        ]
-        if not members.reads_log() and not self._stale(news):
-            return
-        try:
-            version, listed = await parts.vm_list.read()
-        except (*log_module.CONNECT_ERRORS, ValueError) as error:
-            LOG.warning("the list of VMs can't be read: %r", error)
-            return
-        self._traffic.read_list(version, listed)
-
     async def _keep_seats(self) -> None:
         if self._parts.catalogue.loaded:
             self._parts.seats.maintain()
--- a/src/bulrushdale/fleet/links.py
+++ b/src/bulrushdale/fleet/links.py
@@ -18,6 +18,7 @@
 from bulrushdale import clock as clock_module
 from bulrushdale.control import control_grpc
 from bulrushdale.control import control_pb2 as pb
+from bulrushdale.fleet import link as link_module
 from bulrushdale.fleet import members as members_module
 
 LOG = logging.getLogger(__name__)
@@ -38,77 +39,6 @@
 )
 
 
-class Link:
-    """One end of the stream to one peer.
-
-    :param peer: the router at the other end.
-    :param now_ms: when it opened, in ms.
-
-    :ivar heard_ms: when the newest frame arrived, in ms.
-    :ivar echo_ms: the newest of this router's own clock readings that the
-        peer has sent back; the peer's leases run from it.
-    """
-
-    __slots__ = (
-        "peer",
-        "heard_ms",
-        "echo_ms",
-        "peer_clock_ms",
-        "bytes_in",
-        "bytes_out",
-        "frames_in",
-        "closed",
-        "_pending",
-        "_wake",
-    )
-
-    def __init__(self, peer: members_module.Member, now_ms: int) -> None:
-        self.peer = peer
-        self.heard_ms = now_ms
-        self.echo_ms: int | None = None
-        self.peer_clock_ms = 0
-        self.bytes_in = 0
-        self.bytes_out = 0
-        self.frames_in = 0
-        self.closed = asyncio.Event()
-        self._pending = pb.Frame()
-        self._wake = asyncio.Event()
-
-    def queue(self) -> pb.Frame:
-        """Return the frame that goes out next, to add messages to it."""
-        self._wake.set()
-        return self._pending
-
-    async def next_frame(self) -> pb.Frame:
-        """Wait until something is queued and take it."""
-        await self._wake.wait()
-        self._wake.clear()
-        frame = self._pending
-        self._pending = pb.Frame()
-        return frame
-
-    def close(self) -> None:
-        """End both tasks of the link."""
-        self.closed.set()
-        self._wake.set()
-
-
-class Handlers(typing.Protocol):
-    """What the rest of the router does with links."""
-
-    def heartbeat(self) -> pb.Heartbeat:
-        """Return this router's state for its peers."""
-
-    def opened(self, link: Link) -> None:
-        """Note a new link."""
-
-    def received(self, link: Link, frame: pb.Frame) -> None:
-        """Handle the messages of one frame."""
-
-    def lost(self, link: Link) -> None:
-        """Note that a link is gone."""
-
-
 class Links(control_grpc.ControlBase):
     """All standing links of one router.
 
@@ -125,7 +55,7 @@
     def __init__(
         self,
         members: members_module.Members,
-        handlers: Handlers,
+        handlers: link_module.Handlers,
         clock: clock_module.Clock,
         secret: str,
         heartbeat_interval_ms: int,
@@ -137,7 +67,7 @@
         self._secret = secret.encode()
         self._heartbeat_interval_ms = heartbeat_interval_ms
         self._switch_ms = switch_ms
-        self._links: dict[str, Link] = {}
+        self._links: dict[str, link_module.Link] = {}
         self._dialling: dict[str, asyncio.Task[None]] = {}
         self._wanted_since_ms: dict[str, int] = {}
         self._server: server.Server | None = None
@@ -145,11 +75,11 @@
         self._retired_bytes = 0
         self._stopping = False
 
-    def get(self, name: str) -> Link | None:
+    def get(self, name: str) -> link_module.Link | None:
         """Return the link to a router, if there is one."""
         return self._links.get(name)
 
-    def all(self) -> list[Link]:
+    def all(self) -> list[link_module.Link]:
         """Return all links."""
         return list(self._links.values())
 
@@ -303,7 +233,7 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _open(self, first: pb.Frame) -> Link:
+    def _open(self, first: pb.Frame) -> link_module.Link:
         hello = first.hello
         member = self._members.ensure(hello.router, hello.data_centre)
         if not member.link_address:
@@ -319,12 +249,12 @@
             # Whatever the peer had here, it may have taken elsewhere.
             older.close()
             self._handlers.lost(older)
-        link = Link(member, now_ms)
+        link = link_module.Link(member, now_ms)
         self._links[member.name] = link
         self._handlers.opened(link)
         return link
 
-    def _lose(self, link: Link) -> None:
+    def _lose(self, link: link_module.Link) -> None:
         link.closed.set()
         self._retired_bytes += link.bytes_in + link.bytes_out
         link.bytes_in = link.bytes_out = 0
@@ -344,14 +274,14 @@
         if not self._stopping and self._members.wants_link(member):
             self._start_dial(member)
 
-    async def _write(self, link: Link, stream: typing.Any) -> None:
+    async def _write(self, link: link_module.Link, stream: typing.Any) -> None:
         while not link.closed.is_set():
             frame = await link.next_frame()
             link.bytes_out += frame.ByteSize() + FRAME_OVERHEAD_BYTES
             await stream.send_message(frame)
 
     async def _read(
-        self, link: Link, stream: typing.Any, first: pb.Frame
+        self, link: link_module.Link, stream: typing.Any, first: pb.Frame
     ) -> None:
         frame: pb.Frame | None = first
         while frame is not None:
@@ -364,7 +294,9 @@
             self._handlers.received(link, frame)
             frame = await stream.recv_message()
 
-    def _note_heartbeat(self, link: Link, beat: pb.Heartbeat) -> None:
+    def _note_heartbeat(
+        self, link: link_module.Link, beat: pb.Heartbeat
+    ) -> None:
         now_ms = self._clock.now_ms()
         link.peer_clock_ms = beat.sent_ms
         if beat.echo_ms:
@@ -394,7 +326,7 @@
                 continue
             self._beat_one(link, beat)
 
-    def _beat_one(self, link: Link, beat: pb.Heartbeat) -> None:
+    def _beat_one(self, link: link_module.Link, beat: pb.Heartbeat) -> None:
         beat.sent_ms = self._clock.now_ms() & CLOCK_MASK
         beat.echo_ms = link.peer_clock_ms
         link.queue().heartbeat.CopyFrom(beat)
--- a/src/bulrushdale/traffic.py
+++ b/src/bulrushdale/peering.py
@@ -8,9 +8,9 @@
 from bulrushdale.catalogue import entries
 from bulrushdale import clock as clock_module
 from bulrushdale.control import control_pb2 as pb
-from bulrushdale.fleet import links as links_module
-from bulrushdale import parts as parts_module
+from bulrushdale.fleet import link as link_module
 from bulrushdale.platform import vms
+from bulrushdale.web import parts as parts_module
 
 LOG = logging.getLogger(__name__)
 
@@ -20,7 +20,7 @@
 VERSION_NEVER = 0xFFFFFFFFFFFFFFFF
 
 
-class Traffic:
+class Peering:
     """Connects the links to the parts of a router.
 
     :param clock: the clock.
@@ -67,7 +67,7 @@
         age_ms = self._clock.now_ms() - time_ms
         return 0 if age_ms > OLD_AGE_MS else age_ms + 1
 
-    def opened(self, link: links_module.Link) -> None:
+    def opened(self, link: link_module.Link) -> None:
         """Attach at a home whose link is open, and bring it up to date."""
         LOG.info("link to %s open", link.peer.name)
         if not self._parts.catalogue.loaded:
@@ -77,13 +77,13 @@
             _add_list(link, _list_message(version, listed))
         self._parts.seats.opened(link.peer.name)
 
-    def lost(self, link: links_module.Link) -> None:
+    def lost(self, link: link_module.Link) -> None:
         """Keep the peer's slots for a while."""
         LOG.info("link to %s lost", link.peer.name)
         self._parts.members.note_lost(link.peer)
         self._parts.desks.lost(link.peer.name)
 
-    def received(self, link: links_module.Link, frame: pb.Frame) -> None:
+    def received(self, link: link_module.Link, frame: pb.Frame) -> None:
         """Handle the messages of one frame, in the order that is safe.
 
         Attachments come before requests, so that a request that went out
@@ -124,7 +124,7 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _receive_state(self, link: links_module.Link, frame: pb.Frame) -> None:
+    def _receive_state(self, link: link_module.Link, frame: pb.Frame) -> None:
         if frame.HasField("catalogue"):
             self._receive_catalogue(link, frame.catalogue)
         if frame.HasField("vm_list"):
@@ -144,7 +144,7 @@
         if members.list_seen_ms is None or members.list_seen_ms < read_ms:
             members.list_seen_ms = read_ms
 
-    def _want(self, link: links_module.Link) -> None:
+    def _want(self, link: link_module.Link) -> None:
         """Ask a peer that is ahead for its catalogue, now and then."""
         now_ms = self._clock.now_ms()
         if now_ms - self._wanted_ms >= WANTED_INTERVAL_MS:
@@ -152,7 +152,7 @@
             link.queue().catalogue.wanted = True
 
     def _receive_catalogue(
-        self, link: links_module.Link, update: pb.CatalogueUpdate
+        self, link: link_module.Link, update: pb.CatalogueUpdate
     ) -> None:
         catalogue = self._parts.catalogue
         if update.wanted:
@@ -169,7 +169,7 @@
         if newer or catalogue.offset > before:
             self._pass_on(link, changed)
 
-    def _send_all(self, link: links_module.Link) -> None:
+    def _send_all(self, link: link_module.Link) -> None:
         catalogue = self._parts.catalogue
         if not catalogue.loaded:
             return
@@ -178,7 +178,7 @@
         link.queue().catalogue.MergeFrom(update)
 
     def _pass_on(
-        self, source: links_module.Link, changed: list[entries.Entry]
+        self, source: link_module.Link, changed: list[entries.Entry]
     ) -> None:
         """Carry changes over the border of the data centre."""
         own_centre = self._parts.members.own.data_centre
@@ -233,7 +233,7 @@
         return True
 
     def _receive_list(
-        self, link: links_module.Link, message: pb.VmList
+        self, link: link_module.Link, message: pb.VmList
     ) -> None:
         if message.wanted and self._list[0]:
             _add_list(link, _list_message(*self._list))
@@ -252,7 +252,7 @@
         self._apply_list(message.version, list(changed.values()))
 
 
-def _add_list(link: links_module.Link, message: pb.VmList) -> None:
+def _add_list(link: link_module.Link, message: pb.VmList) -> None:
     """Queue a list; one that waits already is replaced as a whole."""
     queued = link.queue().vm_list
     wanted = queued.wanted
@@ -308,9 +308,7 @@
     )
 
 
-def _add_entries(
-    link: links_module.Link, changed: list[entries.Entry]
-) -> None:
+def _add_entries(link: link_module.Link, changed: list[entries.Entry]) -> None:
     if changed:
         link.queue().catalogue.entries.extend(map(_message, changed))
 
--- a/src/bulrushdale/web/callers.py
+++ b/src/bulrushdale/web/callers.py
@@ -12,11 +12,11 @@
 from opentelemetry import trace
 
 from bulrushdale import explain
-from bulrushdale import parts as parts_module
 from bulrushdale import results
 from bulrushdale import telemetry
 from bulrushdale.web import caller as caller_module
 from bulrushdale.web import chats
+from bulrushdale.web import parts as parts_module
 from bulrushdale.web import respond
 from bulrushdale.web import services
 
--- a/src/bulrushdale/web/calls.py
+++ b/src/bulrushdale/web/calls.py
@@ -9,8 +9,8 @@
 from bulrushdale.catalogue import entries
 from bulrushdale.claims import ledger
 from bulrushdale import hashing
-from bulrushdale import parts as parts_module
 from bulrushdale.web import caller as caller_module
+from bulrushdale.web import parts as parts_module
 
 
 CONNECT_TIMEOUT_MS = 1_000
--- a/src/bulrushdale/web/chats.py
+++ b/src/bulrushdale/web/chats.py
@@ -13,10 +13,10 @@
 from bulrushdale.answers import frames
 from bulrushdale.answers import ids
 from bulrushdale.answers import source as source_module
-from bulrushdale import parts as parts_module
 from bulrushdale import results
 from bulrushdale import telemetry
 from bulrushdale.web import caller as caller_module
+from bulrushdale.web import parts as parts_module
 from bulrushdale.web import respond
 
 
--- a/src/bulrushdale/web/operators.py
+++ b/src/bulrushdale/web/operators.py
@@ -12,9 +12,9 @@
 from bulrushdale.catalogue import entries
 from bulrushdale.catalogue import fold
 from bulrushdale.catalogue import publisher
-from bulrushdale import parts as parts_module
 from bulrushdale.platform import log
 from bulrushdale import results
+from bulrushdale.web import parts as parts_module
 from bulrushdale.web import respond
 
 PAGE_RECORDS = 1_000
--- a/src/bulrushdale/web/services.py
+++ b/src/bulrushdale/web/services.py
@@ -9,11 +9,11 @@
 from bulrushdale.claims import keys
 from bulrushdale.claims import ledger
 from bulrushdale import hashing
-from bulrushdale import parts as parts_module
 from bulrushdale import results
 from bulrushdale.web import caller as caller_module
 from bulrushdale.web import calls
 from bulrushdale.web import once
+from bulrushdale.web import parts as parts_module
 from bulrushdale.web import respond
 
 
--- a/tests/slot_network.py
+++ b/tests/slot_network.py
@@ -1,6 +1,6 @@
 """Routers in one process with links that the test cuts and freezes.
 
-The routers' own seats, desks and traffic run; only the stream below them
+The routers' own seats, desks and peering run; only the stream below them
 is replaced: frames move when the test says so.
 """
 
@@ -21,11 +21,12 @@
 from bulrushdale.catalogue import view as view_module
 from bulrushdale import clock as clock_module
 from bulrushdale.control import control_pb2 as pb
+from bulrushdale.fleet import link as link_module
 from bulrushdale.fleet import links as links_module
 from bulrushdale.fleet import members as members_module
 from bulrushdale.fleet import targets as targets_module
+from bulrushdale import peering
 from bulrushdale.platform import vms
-from bulrushdale import traffic
 
 CENTRE = "mid-a"
 POOL = "chat"
@@ -69,12 +70,12 @@
     """The links of one router in the test's network."""
 
     def __init__(self) -> None:
-        self.open: dict[str, links_module.Link] = {}
+        self.open: dict[str, link_module.Link] = {}
 
-    def get(self, name: str) -> links_module.Link | None:
+    def get(self, name: str) -> link_module.Link | None:
         return self.open.get(name)
 
-    def all(self) -> list[links_module.Link]:
+    def all(self) -> list[link_module.Link]:
         return list(self.open.values())
 
 
@@ -117,8 +118,8 @@
             scope, self.seats.answered_own, random.Random(seed)
         )
         self.seats.bind(self.desks)
-        self.traffic = traffic.Traffic(clock)
-        self.traffic.bind(
+        self.peering = peering.Peering(clock)
+        self.peering.bind(
             types.SimpleNamespace(
                 desks=self.desks,
                 seats=self.seats,
@@ -230,11 +231,11 @@
             member = node.members.get(other.name)
             member.linked = True
             member.heard_ms = self.clock.now_ms()
-            link = links_module.Link(member, self.clock.now_ms())
+            link = link_module.Link(member, self.clock.now_ms())
             node.links.open[other.name] = link
         for node, other in (nodes, nodes[::-1]):
             self.beat_one(node, other.name)
-            node.traffic.opened(node.links.open[other.name])
+            node.peering.opened(node.links.open[other.name])
 
     def close(self, node: Node, other: str) -> None:
         """Close one end; the other end learns of it unless it is cut."""
@@ -242,7 +243,7 @@
         if link is None:
             return
         link.peer.linked = False
-        node.traffic.lost(link)
+        node.peering.lost(link)
         if frozenset((node.name, other)) not in self.cuts:
             self.nodes[other].inbox[node.name].append(None)
 
@@ -308,7 +309,7 @@
                     link,
                     frame.heartbeat,
                 )
-            node.traffic.received(link, frame)
+            node.peering.received(link, frame)
         self.spin()
 
     def ask(self, name: str, affinity: int) -> None:
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -9,6 +9,7 @@
 from bulrushdale.admission import desk as desk_module
 from bulrushdale.admission import ledger
 from bulrushdale.admission import queue
+from bulrushdale.admission import reply as reply_module
 from bulrushdale.catalogue import entries
 from bulrushdale import clock as clock_module
 from bulrushdale.fleet import targets
@@ -37,7 +38,7 @@
             )
             for number in range(4)
         ]
-        self.replies: dict[int, desk_module.Reply] = {}
+        self.replies: dict[int, reply_module.Reply] = {}
         self.seq = 0
         self.desk = desk_module.Desk(
             usable=lambda: self.targets,
@@ -50,7 +51,7 @@
             rng=random.Random(1),
         )
 
-    def answer(self, ask: queue.Ask, reply: desk_module.Reply) -> None:
+    def answer(self, ask: queue.Ask, reply: reply_module.Reply) -> None:
         self.replies[ask.seq] = reply
 
     def ask(
@@ -278,7 +279,7 @@
 
 
 def test_a_returning_chat_goes_where_it_was(office: Office) -> None:
-    def chat(seq: int) -> desk_module.Reply:
+    def chat(seq: int) -> reply_module.Reply:
         now_ms = office.clock.now_ms()
         office.desk.ask(
             queue.Ask(
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -6,6 +6,7 @@
 
 from bulrushdale import clock as clock_module
 from bulrushdale.control import control_pb2 as pb
+from bulrushdale.fleet import link as link_module
 from bulrushdale.fleet import links
 from bulrushdale.fleet import members
 
@@ -14,18 +15,18 @@
     """Notes what happens to links."""
 
     def __init__(self) -> None:
-        self.events: list[tuple[str, links.Link]] = []
+        self.events: list[tuple[str, link_module.Link]] = []
 
     def heartbeat(self) -> pb.Heartbeat:
         return pb.Heartbeat()
 
-    def opened(self, link: links.Link) -> None:
+    def opened(self, link: link_module.Link) -> None:
         self.events.append(("opened", link))
 
-    def received(self, link: links.Link, frame: pb.Frame) -> None:
+    def received(self, link: link_module.Link, frame: pb.Frame) -> None:
         self.events.append(("received", link))
 
-    def lost(self, link: links.Link) -> None:
+    def lost(self, link: link_module.Link) -> None:
         self.events.append(("lost", link))
 
 
--- a/tests/test_traffic.py
+++ b/tests/test_peering.py
@@ -9,10 +9,10 @@
 from bulrushdale.catalogue import fold
 from bulrushdale import clock as clock_module
 from bulrushdale.control import control_pb2 as pb
-from bulrushdale.fleet import links
+from bulrushdale.fleet import link as link_module
 from bulrushdale.fleet import members
+from bulrushdale import peering
 from bulrushdale.platform import vms
-from bulrushdale import traffic
 from tests import slot_network
 
 
@@ -24,8 +24,8 @@
         links=slot_network.Links(),
         targets=types.SimpleNamespace(apply_list=lambda _: None),
     )
-    parts.traffic = traffic.Traffic(clock)
-    parts.traffic.bind(parts)
+    parts.peering = peering.Peering(clock)
+    parts.peering.bind(parts)
     return parts
 
 
@@ -34,7 +34,7 @@
     one, two = router("router-0", clock), router("router-1", clock)
     for here, there in ((one, two), (two, one)):
         peer = here.members.ensure(there.members.own.name, "mid-a")
-        here.links.open[peer.name] = links.Link(peer, clock.now_ms())
+        here.links.open[peer.name] = link_module.Link(peer, clock.now_ms())
     return one, two
 
 
@@ -49,7 +49,7 @@
     update = out._pending.catalogue
     out._pending = pb.Frame()
     back = sink.links.open[source.members.own.name]
-    sink.traffic._receive_catalogue(back, update)
+    sink.peering._receive_catalogue(back, update)
 
 
 def test_an_offset_is_not_passed_on_without_the_entries_below_it(pair):
@@ -59,7 +59,7 @@
     # The entry was accepted here before the link to the peer was open.
     one.catalogue.merge([entry("gold", 4)])
     one.catalogue.advance(4)
-    one.traffic.folded(3)
+    one.peering.folded(3)
     send(one, two)
     assert two.catalogue.offset == 4
     assert two.catalogue.revision("class", "gold") == 4
@@ -70,7 +70,7 @@
     two.catalogue.advance(3)
     one.catalogue.merge([entry("gold", 5), entry("bronze", 8)])
     one.catalogue.advance(8)
-    one.traffic.folded(7)
+    one.peering.folded(7)
     send(one, two)
     assert two.catalogue.offset == 3
     send(two, one)
@@ -86,7 +86,7 @@
     deleted = entries.Entry("class", "gold", 6, None, 0, "tester")
     two.catalogue.merge([deleted])
     two.catalogue.advance(6)
-    one.traffic._send_all(one.links.open["router-1"])
+    one.peering._send_all(one.links.open["router-1"])
     send(one, two)
     assert two.catalogue.offset == 6
     assert two.catalogue.revision("class", "gold") == 0
@@ -102,48 +102,48 @@
     message = out._pending.vm_list
     out._pending = pb.Frame()
     back = sink.links.open[source.members.own.name]
-    sink.traffic._receive_list(back, message)
+    sink.peering._receive_list(back, message)
     return message
 
 
 def test_only_changes_of_the_list_are_passed_on(pair) -> None:
     one, two = pair
-    one.traffic.read_list(1, [vm("a"), vm("b"), vm("c")])
+    one.peering.read_list(1, [vm("a"), vm("b"), vm("c")])
     send_list(one, two)
-    one.traffic.read_list(2, [vm("a"), vm("b", leaving=True)])
+    one.peering.read_list(2, [vm("a"), vm("b", leaving=True)])
     message = send_list(one, two)
     assert [v.name for v in message.vms] == ["b"]
     assert list(message.removed) == ["c"]
-    assert two.traffic._list == (2, [vm("a"), vm("b", leaving=True)])
+    assert two.peering._list == (2, [vm("a"), vm("b", leaving=True)])
 
 
 def test_a_peer_that_missed_a_list_asks_for_all_of_it(pair) -> None:
     one, two = pair
-    one.traffic.read_list(1, [vm("a")])
+    one.peering.read_list(1, [vm("a")])
     one.links.open["router-1"]._pending = pb.Frame()
-    one.traffic.read_list(2, [vm("a"), vm("b")])
+    one.peering.read_list(2, [vm("a"), vm("b")])
     send_list(one, two)
-    assert two.traffic._list[0] == 0
+    assert two.peering._list[0] == 0
     send_list(two, one)
     send_list(one, two)
-    assert two.traffic._list == (2, [vm("a"), vm("b")])
+    assert two.peering._list == (2, [vm("a"), vm("b")])
 
 
 def test_two_changes_in_one_frame_are_not_mistaken_for_one(pair) -> None:
     one, two = pair
-    one.traffic.read_list(1, [vm("a")])
+    one.peering.read_list(1, [vm("a")])
     send_list(one, two)
-    one.traffic.read_list(2, [vm("a"), vm("b")])
-    one.traffic.read_list(3, [vm("b")])
+    one.peering.read_list(2, [vm("a"), vm("b")])
+    one.peering.read_list(3, [vm("b")])
     send_list(one, two)
     send_list(two, one)
     send_list(one, two)
-    assert two.traffic._list == (3, [vm("b")])
+    assert two.peering._list == (3, [vm("b")])
 
 
 def test_an_older_list_is_ignored(pair) -> None:
     one, two = pair
-    two.traffic.read_list(5, [vm("a")])
-    one.traffic.read_list(4, [vm("b")])
+    two.peering.read_list(5, [vm("a")])
+    one.peering.read_list(4, [vm("b")])
     send_list(one, two)
-    assert two.traffic._list == (5, [vm("a")])
+    assert two.peering._list == (5, [vm("a")])
