Hold early requests until both first reads have ended

The configuration may come later. Ruled out: the hold's limit of 300 ms.

Test: test_requests_wait_for_a_router_that_starts, with either read delayed; failed before with the configuration delayed.

--- a/examples/standins/keyed_store.py
+++ b/examples/standins/keyed_store.py
@@ -15,6 +15,7 @@
 
     :ivar refuse: answer every call with this status; none to serve.
     :ivar calls: how many calls were answered.
+    :ivar delays_s: by topic, how long its newest records take, in s.
     """
 
     def __init__(self) -> None:
@@ -22,6 +23,7 @@
         self._changed = asyncio.Condition()
         self.refuse: int | None = None
         self.calls = 0
+        self.delays_s: dict[str, float] = {}
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a record, as an operator or a target does."""
@@ -49,7 +51,9 @@
         return web.Response(body=data)
 
     async def _newest(self, request: web.Request) -> web.Response:
-        records = self._records(request.query["topic"])
+        topic = request.query["topic"]
+        await asyncio.sleep(self.delays_s.get(topic, 0))
+        records = self._records(topic)
         newest = {key: offset for offset, (key, _) in enumerate(records)}
         items = [
             {
--- a/src/bulrushdale/forwarding/callers.py
+++ b/src/bulrushdale/forwarding/callers.py
@@ -25,17 +25,16 @@
     :ivar busy: the connections that a request is served on.
     :ivar draining: whether the router stops.
     :ivar closed: whether it stops and takes no more requests.
-    :ivar listed: set once the targets are known, which come last when a
-        router starts.
+    :ivar informed: set once the configuration and the targets are known.
     """
 
-    __slots__ = ("busy", "draining", "closed", "listed")
+    __slots__ = ("busy", "draining", "closed", "informed")
 
     def __init__(self) -> None:
         self.busy: set[web.RequestHandler] = set()
         self.draining = False
         self.closed = False
-        self.listed = asyncio.Event()
+        self.informed = asyncio.Event()
 
     @property
     def requests(self) -> int:
@@ -143,12 +142,12 @@
             return _refusal_response(refusal, request_id)
 
     async def _wait_for_start(self) -> None:
-        """Hold a request that came before the first list of targets."""
-        if self._activity.listed.is_set():
+        """Hold a request that came before the first reads ended."""
+        if self._activity.informed.is_set():
             return
         try:
             async with asyncio.timeout(START_WAIT_MS / 1000):
-                await self._activity.listed.wait()
+                await self._activity.informed.wait()
         except TimeoutError:
             LOG.info(
                 "start takes long",
--- a/src/bulrushdale/forwarding/feed.py
+++ b/src/bulrushdale/forwarding/feed.py
@@ -27,6 +27,7 @@
 
 Apply = abc.Callable[[str, bytes | None], None]
 Meaning = abc.Callable[[str, bytes], object]
+Confirm = abc.Callable[[int], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,7 +96,7 @@
         self,
         name: str,
         apply: Apply,
-        confirm: abc.Callable[[int], None],
+        confirm: Confirm,
         meaning: Meaning,
         count_read: abc.Callable[[str, str], None],
         clock: clock_module.Clock,
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -141,9 +141,9 @@
         self._activity = callers.Activity()
         self._revisions = revisions_module.Revisions(clock)
         self._targets = targets_module.Targets(clock, settings.target_drain_ms)
-        address = f"{settings.host}:{settings.link_port}"
+        self._address = f"{settings.host}:{settings.link_port}"
         self._peers = peers_module.Peers(
-            address, settings.data_centre, settings.link_mbps, clock
+            self._address, settings.data_centre, settings.link_mbps, clock
         )
         for seed in settings.seeds:
             self._peers.introduce(seed)
@@ -155,20 +155,20 @@
                 (
                     "configuration",
                     configuration.apply_to(self._revisions),
-                    self._revisions.confirm,
+                    self._confirm(self._revisions.confirm),
                     _as_it_is,
                 ),
                 (
                     "targets",
                     listings.apply_to(self._targets),
-                    self._note_listed,
+                    self._confirm(lambda _: None),
                     listings.meaning,
                 ),
             )
         }
         self._overrides = overrides_module.Overrides(clock)
         self._links = links_module.Links(
-            address,
+            self._address,
             self._peers,
             self._overrides,
             self._feeds,
@@ -222,8 +222,15 @@
     def _count_read(self, feed: str, outcome: str) -> None:
         self._metrics.store_reads.add(1, {"feed": feed, "outcome": outcome})
 
-    def _note_listed(self, _: int) -> None:
-        self._activity.listed.set()
+    def _confirm(self, note: abc.Callable[[int], None]) -> feed_module.Confirm:
+        """Return what a feed calls, which also ends the start of callers."""
+
+        def confirm(as_of_ms: int) -> None:
+            note(as_of_ms)
+            if all(f.confirmed_ms is not None for f in self._feeds.values()):
+                self._activity.informed.set()
+
+        return confirm
 
     def _jobs(self) -> list[abc.Coroutine[None, None, None]]:
         return [
@@ -238,7 +245,7 @@
             ),
             registry.follow(
                 self._store,
-                f"{self.settings.host}:{self.settings.link_port}",
+                self._address,
                 reports.Member(
                     self.settings.data_centre, self.settings.link_mbps
                 ),
@@ -253,21 +260,12 @@
     async def _follow(
         self, name: str, topic: str, wait_ms: int, interval_ms: int
     ) -> None:
-        async def read(offset: int | None) -> feed_module.Reading:
-            asked_ms = self._clock.boot_ms()
-            if offset is None:
-                page = await self._store.newest(topic)
-                return feed_module.Reading(page, asked_ms)
-            page = await self._store.read(topic, offset, wait_ms)
-            as_of_ms = feed_module.read_as_of_ms(
-                page, asked_ms, self._clock.boot_ms(), wait_ms
-            )
-            return feed_module.Reading(page, as_of_ms)
-
         await feed_module.follow(
             self._feeds[name],
             feed_module.Sources(
-                read, self._links.read_collector, self._links.read_peers
+                self._store.reader(topic, wait_ms, self._clock),
+                self._links.read_collector,
+                self._links.read_peers,
             ),
             interval_ms,
             self._targets.note_store_back,
@@ -288,7 +286,7 @@
         self._sequence += 1
         self._links.send(
             reports.Report(
-                address=f"{self.settings.host}:{self.settings.link_port}",
+                address=self._address,
                 data_centre=self.settings.data_centre,
                 started_ms=self._started_ms,
                 sequence=self._sequence,
--- a/src/bulrushdale/platform/store.py
+++ b/src/bulrushdale/platform/store.py
@@ -2,11 +2,14 @@
 record of each key."""
 
 import base64
+from collections import abc
 import logging
 
 import aiohttp
 import orjson
 
+from bulrushdale import clock as clock_module
+from bulrushdale.forwarding import feed
 from bulrushdale.forwarding import records as records_module
 
 LOG = logging.getLogger(__name__)
@@ -153,6 +156,28 @@
                 return records_module.Page(records, end, True, True)
             query["after"] = data["items"][-1]["key"]
 
+    def reader(
+        self, topic: str, wait_ms: int, clock: clock_module.Clock
+    ) -> abc.Callable[[int | None], abc.Awaitable[feed.Reading]]:
+        """Return what reads a topic from an offset, or everything for none.
+
+        :param topic: a keyed topic.
+        :param wait_ms: how long a read waits for a record, in ms.
+        :param clock: the clock.
+        """
+
+        async def read(offset: int | None) -> feed.Reading:
+            asked_ms = clock.boot_ms()
+            if offset is None:
+                return feed.Reading(await self.newest(topic), asked_ms)
+            page = await self.read(topic, offset, wait_ms)
+            as_of_ms = feed.read_as_of_ms(
+                page, asked_ms, clock.boot_ms(), wait_ms
+            )
+            return feed.Reading(page, as_of_ms)
+
+        return read
+
     async def append(self, topic: str, key: str, value: bytes) -> None:
         """Append a record to a keyed topic.
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -536,8 +536,12 @@
         assert response.status == 200
 
 
-async def test_requests_wait_for_a_router_that_starts(deployment, caller):
-    """No caller is refused between the port's opening and the first read."""
+@pytest.mark.parametrize("last", ["keyed.op", "keyed.servers"])
+async def test_requests_wait_for_a_router_that_starts(
+    deployment, caller, last
+):
+    """No caller is refused before the first read, whichever ends last."""
+    deployment.store.delays_s[last] = 0.1
     router = await deployment.add_router(router="r2")
     async with caller.post(
         deployment.url("/order/x", router), headers=headers()
