--- a/src/bulrushdale/platform/store.py
+++ b/src/bulrushdale/platform/store.py
@@ -9,6 +9,7 @@
 import orjson
 
 from bulrushdale import clock as clock_module
+from bulrushdale.forwarding import connections
 from bulrushdale.forwarding import feed
 from bulrushdale.forwarding import records as records_module
 
@@ -86,7 +87,10 @@
         body: bytes | None = None,
         timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> bytes:
-        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_ms / 1000,
+            sock_connect=connections.CONNECT_TIMEOUT_MS / 1000,
+        )
         try:
             async with self._session.request(
                 method,
