--- a/src/bulrushdale/routing/peers.py
+++ b/src/bulrushdale/routing/peers.py
@@ -31,7 +31,7 @@
 # smallest links.
 SUM_LINK_SHARE = 0.2
 SMALLEST_LINK_MBPS = 5
-# Targets that a collector adds up in a second: 2,000 take 20 ms, so that sums
+# Targets that a collector adds up in a second: 2,000 take 25 ms, so that sums
 # cost less than the 4.2% of a core that control may take.
 SUM_TARGETS_PER_S = 2_500
 # What one router may get of sums, of the 8 KB/s that it has for control; its
