--- a/bench/added.py
+++ b/bench/added.py
@@ -19,9 +19,9 @@
 
 from bench import report
 from examples import ports
-from examples.standins import keyed_store
 from examples.standins import scripted_target
 from examples.standins import settings_file
+from examples.standins import store as store_standin
 
 REQUESTS = 1_000
 # Between two requests, so that neither waits for the other's end.
@@ -64,7 +64,7 @@
     stack: contextlib.AsyncExitStack, target_address: str
 ) -> str:
     """Start a store that lists one target; return its address."""
-    store = keyed_store.KeyedStore()
+    store = store_standin.Store()
     runner = web.AppRunner(store.app(), shutdown_timeout=0.1)
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
--- a/bench/state.py
+++ b/bench/state.py
@@ -13,7 +13,7 @@
 from bulrushdale.catalogue import view
 from bulrushdale.claims import keys
 from bulrushdale.claims import ledger
-from bulrushdale.platform import log
+from bulrushdale import records as records_module
 
 TEAMS = (2_000, 5_000, 10_000, 21_000)
 KEYS = (10_000, 30_000, 60_000, 100_000)
@@ -38,7 +38,7 @@
     return size, seconds
 
 
-def team_record(number: int) -> log.Record:
+def team_record(number: int) -> records_module.LogRecord:
     """Return the record that creates a team."""
     key = hashlib.sha256(f"key {number}".encode()).hexdigest()
     spec = {
@@ -56,7 +56,7 @@
         "expected": 0,
         "operator": "bench",
     }
-    return log.Record(number, 1_000, data)
+    return records_module.LogRecord(number, 1_000, data)
 
 
 def load_teams(count: int) -> tuple:
@@ -72,7 +72,7 @@
     """Return the CPU s to load so many teams from a snapshot."""
     source, _ = load_teams(count)
     records = [
-        log.Record(count + n, 1_000, data)
+        records_module.LogRecord(count + n, 1_000, data)
         for n, data in enumerate(fold.snapshot(source, "s"))
     ]
     begun = time.process_time()
@@ -84,7 +84,7 @@
     return seconds
 
 
-def claim_records(count: int) -> list[log.Record]:
+def claim_records(count: int) -> list[records_module.LogRecord]:
     """Return records with claims and outcomes of so many keys."""
     records = []
     outcome = ledger.Outcome(200, b'{"number": 7}', "application/json")
@@ -102,11 +102,11 @@
                 ),
             ]
         data = ledger.encode(items)
-        records.append(log.Record(len(records), 1_000, data))
+        records.append(records_module.LogRecord(len(records), 1_000, data))
     return records
 
 
-def fold_claims(records: list[log.Record]) -> ledger.Ledger:
+def fold_claims(records: list[records_module.LogRecord]) -> ledger.Ledger:
     """Return the ledger of some records."""
     found = ledger.Ledger(3_600_000)
     for record in records:
--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -121,9 +121,13 @@
 
     async def _start(self) -> None:
         shape = self.shape
-        log_port, list_port = ports.free_ports(2)
+        store_port, list_port = ports.free_ports(2)
         self._standin(
-            "log", "log", log_port, "--retention-ms", str(shape.retention_ms)
+            "store",
+            "store",
+            store_port,
+            "--retention-ms",
+            str(shape.retention_ms),
         )
         self._standin(
             "vm-list", "vm_list", list_port, "--lag-ms", str(shape.list_lag_ms)
@@ -183,7 +187,7 @@
                 "link_port": link,
             },
             "platform": {
-                "log_url": self.urls["log"],
+                "store_url": self.urls["store"],
                 "vm_list_url": f"{self.urls['vm-list']}/vms?viewer={name}",
                 "retention_ms": self.shape.retention_ms,
                 "poll_interval_ms": 500,
--- a/examples/platform.py
+++ b/examples/platform.py
@@ -15,8 +15,8 @@
 from bulrushdale.forwarding import settings as settings_module
 from bulrushdale import gateway
 from examples import ports
-from examples.standins import keyed_store
 from examples.standins import scripted_target
+from examples.standins import store as store_standin
 
 KEY = "bakery-key"
 LIST_INTERVAL_S = 1.5
@@ -91,7 +91,7 @@
 
 
 async def _play(stack: contextlib.AsyncExitStack) -> None:
-    store = keyed_store.KeyedStore()
+    store = store_standin.Store()
     runner = web.AppRunner(store.app())
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
--- /dev/null
+++ b/examples/standins/store.py
@@ -0,0 +1,212 @@
+"""Stand-in of the platform's store: topics of records over HTTP.
+
+Faults, set by ``POST /faults`` or as attributes: ``refuse`` (a status that
+every call gets, without effect), ``lose_answers`` (the next N appends take
+effect and get no answer), ``delay_ms``, ``old_replica`` (reads miss the newest
+N records) and ``retention_ms``.
+"""
+
+import asyncio
+import base64
+import contextlib
+import time
+import typing
+
+from aiohttp import web
+import click
+import orjson
+import uvloop
+
+HEAD_BYTES = 4
+OFFSET_BYTES = 8
+APPENDS_PER_S = 500
+RETENTION_MS = 172_800_000
+FAULTS = frozenset(
+    {"refuse", "lose_answers", "delay_ms", "old_replica", "retention_ms"}
+)
+
+
+class Topic:
+    """The records of a topic.
+
+    :ivar first: the oldest offset that is still kept.
+    :ivar records: when each was stored, in s, and its content.
+    """
+
+    def __init__(self) -> None:
+        self.first = 0
+        self.records: list[tuple[float, bytes]] = []
+
+    @property
+    def end(self) -> int:
+        """One past the newest offset."""
+        return self.first + len(self.records)
+
+    def expire(self, retention_ms: int) -> None:
+        """Drop the records that are older than the retention."""
+        oldest = time.time() - retention_ms / 1000
+        expired = 0
+        while (
+            expired < len(self.records) and self.records[expired][0] < oldest
+        ):
+            expired += 1
+        del self.records[:expired]
+        self.first += expired
+
+
+class Store:
+    """Keeps topics in memory.
+
+    :ivar calls: how many calls were made.
+    :ivar delays_s: by topic, how long its newest records take, in s.
+    """
+
+    def __init__(self) -> None:
+        self._topics: dict[str, Topic] = {}
+        self._newest: dict[str, dict[str, tuple[int, bytes]]] = {}
+        self._changed = asyncio.Condition()
+        self._allowance = float(APPENDS_PER_S)
+        self._allowed_at = time.monotonic()
+        self.refuse: int | None = None
+        self.lose_answers = 0
+        self.delay_ms = 0
+        self.old_replica = 0
+        self.retention_ms = RETENTION_MS
+        self.calls = 0
+        self.delays_s: dict[str, float] = {}
+
+    async def put(self, topic: str, key: str, value: bytes) -> None:
+        """Append a record to a keyed topic, as an operator or a target."""
+        name = key.encode()
+        await self._store(topic, bytes([len(name)]) + name + value)
+
+    async def _store(self, topic: str, content: bytes) -> int:
+        """Append a record; return its offset."""
+        async with self._changed:
+            found = self._topic(topic)
+            offset = found.end
+            found.records.append((time.time(), content))
+            if topic.startswith("keyed."):
+                key = content[1 : 1 + content[0]].decode()
+                newest = self._newest.setdefault(topic, {})
+                newest[key] = (offset, content[1 + content[0] :])
+            self._changed.notify_all()
+        return offset
+
+    def _topic(self, name: str) -> Topic:
+        found = self._topics.setdefault(name, Topic())
+        found.expire(self.retention_ms)
+        return found
+
+    def _admits_append(self) -> bool:
+        """Return whether the append rate allows one more."""
+        now = time.monotonic()
+        earned = (now - self._allowed_at) * APPENDS_PER_S
+        self._allowance = min(APPENDS_PER_S, self._allowance + earned)
+        self._allowed_at = now
+        if self._allowance < 1:
+            return False
+        self._allowance -= 1
+        return True
+
+    async def _read(self, request: web.Request) -> web.Response:
+        topic = self._topic(request.query["topic"])
+        offset = int(request.query["from"])
+        wait_ms = int(request.query.get("wait_ms", 0))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_ms / 1000), self._changed:
+                await self._changed.wait_for(lambda: topic.end > offset)
+        if offset < topic.first:
+            body = orjson.dumps({"first": topic.first})
+            return web.Response(status=410, body=body)
+        end = topic.end - self.old_replica
+        most_bytes = int(request.query.get("max_kb", 1024)) * 1024
+        data = b"".join(
+            number.to_bytes(OFFSET_BYTES, "big")
+            for number in (max(end, topic.first), topic.first)
+        )
+        for _, content in topic.records[
+            offset - topic.first : max(0, end - topic.first)
+        ]:
+            record = len(content).to_bytes(HEAD_BYTES, "big") + content
+            if len(data) + len(record) > most_bytes:
+                break
+            data += record
+        return web.Response(body=data)
+
+    async def _read_newest(self, request: web.Request) -> web.Response:
+        name = request.query["topic"]
+        await asyncio.sleep(self.delays_s.get(name, 0))
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "offset": offset,
+            }
+            for key, (offset, value) in self._newest.get(name, {}).items()
+            if value
+        ]
+        end = self._topic(name).end
+        body = {"items": items, "has_more": False, "end": end}
+        return web.Response(body=orjson.dumps(body))
+
+    async def _append(self, request: web.Request) -> web.Response:
+        data = await request.read()
+        if not self._admits_append():
+            return web.Response(status=429)
+        offset = await self._store(request.query["topic"], data[HEAD_BYTES:])
+        if self.lose_answers > 0 and request.transport is not None:
+            self.lose_answers -= 1
+            request.transport.abort()
+        body = {"offset": offset, "end": offset + 1}
+        return web.Response(body=orjson.dumps(body))
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        changes: dict[str, typing.Any] = orjson.loads(await request.read())
+        if not changes.keys() <= FAULTS:
+            return web.Response(status=400, text="no such fault")
+        for name, value in changes.items():
+            setattr(self, name, value)
+        return web.json_response(changes)
+
+    @web.middleware
+    async def _guard(
+        self, request: web.Request, handler: web.RequestHandler
+    ) -> web.StreamResponse:
+        if request.path == "/faults":
+            return await handler(request)
+        self.calls += 1
+        await asyncio.sleep(self.delay_ms / 1000)
+        if self.refuse is not None:
+            return web.Response(status=self.refuse)
+        return await handler(request)
+
+    def app(self) -> web.Application:
+        """Return the application that serves the store."""
+        app = web.Application(
+            middlewares=[self._guard], client_max_size=64 * 1024 * 1024
+        )
+        app.router.add_get("/bulrushdale/log-read", self._read)
+        app.router.add_get("/bulrushdale/log-newest", self._read_newest)
+        app.router.add_post("/bulrushdale/log-append", self._append)
+        app.router.add_post("/faults", self._set_faults)
+        return app
+
+
+async def _serve(retention_ms: int) -> web.Application:
+    store = Store()
+    store.retention_ms = retention_ms
+    return store.app()
+
+
+@click.command()
+@click.option("--port", type=int, required=True)
+@click.option("--retention-ms", type=int, default=RETENTION_MS)
+def main(port: int, retention_ms: int) -> None:
+    """Run the store's stand-in on loopback."""
+    uvloop.install()
+    web.run_app(_serve(retention_ms), host="127.0.0.1", port=port, print=None)
+
+
+if __name__ == "__main__":
+    main()
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -16,9 +16,9 @@
 from aiohttp import web
 import orjson
 
-from examples.standins import keyed_store
 from examples.standins import scripted_target
 from examples.standins import settings_file
+from examples.standins import store as store_standin
 from soak import checker as checker_module
 from soak import proxy as proxy_module
 
@@ -130,7 +130,7 @@
     def __init__(self, seed: int, routers: int, folder: pathlib.Path) -> None:
         self.random = random.Random(seed)
         self.checker = checker_module.Checker()
-        self.store = keyed_store.KeyedStore()
+        self.store = store_standin.Store()
         self.routers = [Router(n, folder) for n in range(1, routers + 1)]
         self.targets: dict[str, proxy_module.Proxy] = {}
         self.asked: dict[str, Router] = {}
--- a/src/bulrushdale/catalogue/fold.py
+++ b/src/bulrushdale/catalogue/fold.py
@@ -12,7 +12,7 @@
 import typing
 
 from bulrushdale.catalogue import entries
-from bulrushdale.platform import log
+from bulrushdale import records as records_module
 
 STREAM = "catalogue"
 SNAPSHOT_ENTRIES = 400
@@ -61,7 +61,7 @@
             return 0
         return entry.revision
 
-    def fold(self, record: log.Record) -> None:
+    def fold(self, record: records_module.LogRecord) -> None:
         """Apply the next record of the log.
 
         :param record: the record at :attr:`offset`; an older one is
@@ -78,7 +78,7 @@
             self._fold_edit(record)
         self.offset = record.offset + 1
 
-    def _fold_edit(self, record: log.Record) -> None:
+    def _fold_edit(self, record: records_module.LogRecord) -> None:
         entry = edited(record)
         if entry is None:
             return
@@ -126,7 +126,7 @@
         return count
 
 
-def edited(record: log.Record) -> entries.Entry | None:
+def edited(record: records_module.LogRecord) -> entries.Entry | None:
     """Return the entry that an edit record would make if it wins.
 
     A record that no schema of this version accepts makes none.
@@ -185,7 +185,9 @@
     )
 
 
-def restore(catalogue: Catalogue, records: list[log.Record]) -> bool:
+def restore(
+    catalogue: Catalogue, records: list[records_module.LogRecord]
+) -> bool:
     """Load a catalogue whose oldest records have expired.
 
     :param catalogue: what to load.
--- a/src/bulrushdale/catalogue/publisher.py
+++ b/src/bulrushdale/catalogue/publisher.py
@@ -8,12 +8,12 @@
 from bulrushdale.catalogue import fold
 from bulrushdale import clock as clock_module
 from bulrushdale.platform import log
+from bulrushdale import records
 from bulrushdale import results
 
 SETTLE_TIMEOUT_MS = 6_000
 RETRY_INTERVAL_MS = 150
 COME_BACK_MS = 5_000
-PAGE_RECORDS = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,7 +49,7 @@
     def __init__(
         self,
         catalogue: fold.Catalogue,
-        client: log.LogClient,
+        client: log.Log,
         clock: clock_module.Clock,
     ) -> None:
         self._catalogue = catalogue
@@ -99,7 +99,7 @@
         }
         try:
             await self._log.append(fold.STREAM, data)
-        except log.LogUnavailableError as error:
+        except records.SourceError as error:
             if not error.may_have_taken_effect:
                 raise results.refuse(
                     results.Code.LOG_UNAVAILABLE,
@@ -116,7 +116,7 @@
         offset: int,
         revision: int,
         lost: bool,
-    ) -> tuple[log.Record, int]:
+    ) -> tuple[records.LogRecord, int]:
         """Read up to the own record.
 
         :return: the record and the entry's revision just before it.
@@ -135,15 +135,17 @@
             + (" after its answer was lost" if lost else ""),
         )
 
-    async def _page(self, offset: int) -> list[log.Record]:
+    async def _page(self, offset: int) -> list[records.LogRecord]:
         try:
-            page = await self._log.read(fold.STREAM, offset, PAGE_RECORDS)
-        except log.LogUnavailableError:
+            page = await self._log.read(fold.STREAM, offset)
+        except records.SourceError:
             return []
         return page.records
 
 
-def _revision_after(record: log.Record, edit: Edit, revision: int) -> int:
+def _revision_after(
+    record: records.LogRecord, edit: Edit, revision: int
+) -> int:
     data: dict[str, typing.Any] = record.data
     if data.get("type") != "edit":
         return revision
--- a/src/bulrushdale/catalogue/tail.py
+++ b/src/bulrushdale/catalogue/tail.py
@@ -7,8 +7,8 @@
 from bulrushdale.catalogue import fold
 from bulrushdale import clock as clock_module
 from bulrushdale.platform import log
+from bulrushdale import records as records_module
 
-PAGE_RECORDS = 1_000
 LOG = logging.getLogger(__name__)
 
 OnChange = typing.Callable[[int], None]
@@ -39,7 +39,7 @@
     def __init__(
         self,
         catalogue: fold.Catalogue,
-        client: log.LogClient,
+        client: log.Log,
         clock: clock_module.Clock,
         retention_ms: int,
         on_change: OnChange,
@@ -55,13 +55,11 @@
     async def poll(self) -> None:
         """Read and fold everything new.
 
-        :raises LogUnavailableError: if the log doesn't answer.
+        :raises SourceError: if the log doesn't answer.
         """
         base = self._catalogue.offset
         while True:
-            page = await self._log.read(
-                fold.STREAM, self._catalogue.offset, PAGE_RECORDS
-            )
+            page = await self._log.read(fold.STREAM, self._catalogue.offset)
             if page.first > self._catalogue.offset:
                 if not await self._restore(page.first):
                     return
@@ -75,7 +73,7 @@
         if self._catalogue.offset != base:
             self._on_change(base)
 
-    def _fold(self, record: log.Record) -> None:
+    def _fold(self, record: records_module.LogRecord) -> None:
         if record.data.get("type") == "snapshot":
             self._snapshot_time_ms = max(
                 self._snapshot_time_ms, record.time_ms
@@ -83,10 +81,10 @@
         self._catalogue.fold(record)
 
     async def _restore(self, first: int) -> bool:
-        records: list[log.Record] = []
+        records: list[records_module.LogRecord] = []
         offset = first
         while True:
-            page = await self._log.read(fold.STREAM, offset, PAGE_RECORDS)
+            page = await self._log.read(fold.STREAM, offset)
             records.extend(page.records)
             if not page.records:
                 break
@@ -113,7 +111,7 @@
     async def append_snapshot(self) -> None:
         """Append the whole catalogue, so that its records may expire.
 
-        :raises LogUnavailableError: if the log doesn't answer.
+        :raises SourceError: if the log doesn't answer.
         """
         snapshot_id = uuid.uuid4().hex
         for data in fold.snapshot(self._catalogue, snapshot_id):
--- a/src/bulrushdale/claims/duty.py
+++ b/src/bulrushdale/claims/duty.py
@@ -12,10 +12,10 @@
 from bulrushdale.claims import ledger as ledger_module
 from bulrushdale import clock as clock_module
 from bulrushdale.platform import log
+from bulrushdale import records
 
 LOG = logging.getLogger(__name__)
 
-PAGE_RECORDS = 1_000
 RETRY_INTERVAL_MS = 150
 BATCH_ITEMS = 200
 RELEASE_BACKLOG = 10_000
@@ -77,7 +77,7 @@
     def __init__(
         self,
         partition: int,
-        client: log.LogClient,
+        client: log.Log,
         clock: clock_module.Clock,
         life_ms: int,
         interval_ms: typing.Callable[[], int],
@@ -147,7 +147,7 @@
         if unsettled or not self.ledger.offset:
             try:
                 await self._catch_up()
-            except log.LogUnavailableError:
+            except records.SourceError:
                 return self._unavailable()
         return await self._standing(item)
 
@@ -168,12 +168,12 @@
 
     async def _done(self, item: ledger_module.Item, offset: int) -> Decision:
         try:
-            page = await self._log.read(self._stream, offset, 1)
-        except log.LogUnavailableError:
+            record = await self._log.read_one(self._stream, offset)
+        except records.SourceError:
             return Decision(Verdict.PENDING)
-        if not page.records or page.records[0].offset != offset:
+        if record is None:
             return Decision(Verdict.EXPIRED)
-        done = ledger_module.outcome_in(page.records[0], item.key)
+        done = ledger_module.outcome_in(record, item.key)
         if done is None:
             return Decision(Verdict.PENDING)
         if item.body and done.body != item.body:
@@ -224,7 +224,7 @@
                     offset = await self._log.append(self._stream, record)
                 if await self._catch_up() > offset:
                     break
-            except log.LogUnavailableError as error:
+            except records.SourceError as error:
                 LOG.warning("claims on %s wait: %s", self._stream, error)
                 if offset is None and not error.may_have_taken_effect:
                     self._fail(batch)
@@ -255,25 +255,23 @@
     async def _catch_up(self) -> int:
         """Fold everything new; return the next offset.
 
-        :raises LogUnavailableError: if the log doesn't answer.
+        :raises SourceError: if the log doesn't answer.
         """
         async with self._reading:
             ledger = self.ledger
             while True:
-                page = await self._log.read(
-                    self._stream, ledger.offset, PAGE_RECORDS
-                )
+                page = await self._log.read(self._stream, ledger.offset)
                 for record in page.records:
                     ledger.fold(record)
-                if len(page.records) < PAGE_RECORDS:
-                    ledger.offset = max(ledger.offset, page.first)
+                ledger.offset = max(ledger.offset, page.first)
+                if not page.records or ledger.offset >= page.end:
                     return ledger.offset
 
     async def refresh(self) -> None:
         """Fold what is new; an outage is noted by the log's client."""
         try:
             await self._catch_up()
-        except log.LogUnavailableError:
+        except records.SourceError:
             return
         self._expire()
 
--- a/src/bulrushdale/claims/holder.py
+++ b/src/bulrushdale/claims/holder.py
@@ -68,7 +68,7 @@
         own: str,
         members: members_module.Members,
         links: links_module.Links,
-        client: log.LogClient,
+        client: log.Log,
         clock: clock_module.Clock,
         life_ms: typing.Callable[[], int],
         interval_ms: typing.Callable[[], int],
--- a/src/bulrushdale/claims/ledger.py
+++ b/src/bulrushdale/claims/ledger.py
@@ -13,7 +13,7 @@
 import typing
 
 from bulrushdale.claims import keys
-from bulrushdale.platform import log
+from bulrushdale import records
 
 BUCKETS_PER_LIFE = 8
 CLOCK_MARGIN_MS = 600_000
@@ -181,7 +181,7 @@
         """
         return key.time_ms < now_ms - self.life_ms
 
-    def fold(self, record: log.Record) -> None:
+    def fold(self, record: records.LogRecord) -> None:
         """Apply the next record; an older one is passed over.
 
         :param record: a record of the partition's stream.
@@ -192,7 +192,7 @@
             self._apply(item, record)
         self.offset = record.offset + 1
 
-    def _apply(self, item: Item, record: log.Record) -> None:
+    def _apply(self, item: Item, record: records.LogRecord) -> None:
         if item.operation == Operation.CLAIM:
             self._claim(item, record)
         elif item.operation == Operation.RELEASE:
@@ -200,7 +200,7 @@
         elif item.operation == Operation.OUTCOME:
             self._outcome(item, record)
 
-    def _claim(self, item: Item, record: log.Record) -> None:
+    def _claim(self, item: Item, record: records.LogRecord) -> None:
         digest = item.key.digest
         if item.claim_id in self._released:
             return
@@ -214,7 +214,7 @@
             del self._held[item.key.digest]
         self._released[item.claim_id] = item.key.time_ms
 
-    def _outcome(self, item: Item, record: log.Record) -> None:
+    def _outcome(self, item: Item, record: records.LogRecord) -> None:
         held = self._held.get(item.key.digest)
         if held is None or held.claim_id != item.claim_id:
             return
@@ -239,7 +239,7 @@
                 del self._released[claim_id]
 
 
-def outcome_in(record: log.Record, key: keys.Key) -> Item | None:
+def outcome_in(record: records.LogRecord, key: keys.Key) -> Item | None:
     """Return the outcome of a key that a record holds."""
     for item in decode(record.data):
         if item.operation == Operation.OUTCOME and item.key == key:
--- a/src/bulrushdale/daemon.py
+++ b/src/bulrushdale/daemon.py
@@ -28,6 +28,7 @@
 from bulrushdale import follower
 from bulrushdale import peering
 from bulrushdale.platform import log as log_module
+from bulrushdale.platform import store as store_module
 from bulrushdale.platform import vms
 from bulrushdale import settings as settings_module
 from bulrushdale import telemetry as telemetry_module
@@ -70,9 +71,10 @@
     own.started_ms = clock.wall_ms()
     members = members_module.Members(own, clock, settings.links.forget_ms)
     platform = settings.platform
-    log = log_module.LogClient(
-        session, platform.log_url, platform.request_timeout_ms, clock
+    store = store_module.Store(
+        session, platform.store_url, platform.request_timeout_ms
     )
+    log = log_module.Log(store, clock)
     vm_list = vms.VmListClient(
         session, platform.vm_list_url, platform.request_timeout_ms
     )
--- a/src/bulrushdale/follower.py
+++ b/src/bulrushdale/follower.py
@@ -5,7 +5,8 @@
 
 from bulrushdale import clock as clock_module
 from bulrushdale import peering as peering_module
-from bulrushdale.platform import log as log_module
+from bulrushdale.platform import vms
+from bulrushdale import records
 from bulrushdale.web import parts as parts_module
 
 LOG = logging.getLogger(__name__)
@@ -55,7 +56,7 @@
                 self._snapshot_delay_ms()
             ):
                 await parts.tail.append_snapshot()
-        except log_module.LogUnavailableError as error:
+        except records.SourceError as error:
             LOG.warning("the log can't be read: %s", error)
 
     def _snapshot_delay_ms(self) -> int:
@@ -80,7 +81,7 @@
             return
         try:
             version, listed = await parts.vm_list.read()
-        except (*log_module.CONNECT_ERRORS, ValueError) as error:
+        except (*vms.READ_ERRORS, ValueError) as error:
             LOG.warning("the list of VMs can't be read: %r", error)
             return
         self._peering.read_list(version, listed)
--- a/src/bulrushdale/forwarding/feed.py
+++ b/src/bulrushdale/forwarding/feed.py
@@ -6,7 +6,7 @@
 import logging
 
 from bulrushdale import clock as clock_module
-from bulrushdale.forwarding import records
+from bulrushdale import records
 
 LOG = logging.getLogger(__name__)
 
--- a/src/bulrushdale/forwarding/links.py
+++ b/src/bulrushdale/forwarding/links.py
@@ -20,7 +20,7 @@
 from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import connections
 from bulrushdale.forwarding import feed as feed_module
-from bulrushdale.forwarding import records
+from bulrushdale import records
 from bulrushdale.routing import health
 from bulrushdale.routing import overrides as overrides_module
 from bulrushdale.routing import peers as peers_module
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -137,7 +137,9 @@
         ]
         session, once_session, own_session = opened
         self._metrics = metrics_module.Metrics()
-        self._store = store_module.Store(own_session, settings.store_address)
+        self._store = store_module.Store(
+            own_session, f"http://{settings.store_address}"
+        )
         self._activity = callers.Activity()
         self._revisions = revisions_module.Revisions(clock)
         self._targets = targets_module.Targets(clock, settings.target_drain_ms)
--- a/src/bulrushdale/platform/__init__.py
+++ b/src/bulrushdale/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform: the log and the list of VMs."""
+"""Everything that speaks to the users' platform."""
--- a/src/bulrushdale/platform/log.py
+++ b/src/bulrushdale/platform/log.py
@@ -1,61 +1,24 @@
-"""Client of the platform's append-only log."""
+"""Logs of JSON records, each in a topic of the platform's store."""
 
-import dataclasses
+import logging
 import typing
 
-import aiohttp
 import orjson
 
 from bulrushdale import clock as clock_module
+from bulrushdale.platform import store as store_module
+from bulrushdale import records
 
-CONNECT_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+LOG = logging.getLogger(__name__)
 
+# Enough for nearly every record; a greater one is read without a limit.
+ONE_RECORD_KB = 64
 
-class LogUnavailableError(Exception):
-    """The log gave no answer that settles the call.
 
-    :param may_have_taken_effect: whether an append may still appear.
-    """
-
-    def __init__(self, detail: str, may_have_taken_effect: bool) -> None:
-        super().__init__(detail)
-        self.may_have_taken_effect = may_have_taken_effect
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Record:
-    """One record of a stream.
-
-    :param offset: its place in the stream, from zero.
-    :param time_ms: when the log stored it, in ms since the epoch.
-    :param data: what was appended.
-    """
-
-    offset: int
-    time_ms: int
-    data: dict[str, typing.Any]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Page:
-    """Records read from a stream.
-
-    :param first: the oldest offset that the log still keeps.
-    :param end: one past the newest offset that this replica knows.
-    :param records: in order, from the offset asked for.
-    """
-
-    first: int
-    end: int
-    records: list[Record]
-
-
-class LogClient:
-    """Appends to and reads from streams of the log.
+class Log:
+    """Appends to and reads from logs in the store.
 
-    :param session: the HTTP session.
-    :param url: the log's base URL.
-    :param timeout_ms: how long one call may take, in ms.
+    :param store: the store's client.
     :param clock: the clock.
 
     :ivar failing_since_ms: when the first of the calls failed that no
@@ -64,86 +27,90 @@
     .. versionadded:: 0.1
     """
 
-    __slots__ = (
-        "_session",
-        "_url",
-        "_timeout",
-        "_clock",
-        "calls",
-        "failing_since_ms",
-    )
+    __slots__ = ("_store", "_clock", "failing_since_ms")
 
     def __init__(
-        self,
-        session: aiohttp.ClientSession,
-        url: str,
-        timeout_ms: int,
-        clock: clock_module.Clock,
+        self, store: store_module.Store, clock: clock_module.Clock
     ) -> None:
-        self._session = session
-        self._url = url.rstrip("/")
-        self._timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
+        self._store = store
         self._clock = clock
-        self.calls = 0
         self.failing_since_ms: int | None = None
 
-    def _fail(self, detail: str, unsettled: bool) -> LogUnavailableError:
-        if self.failing_since_ms is None:
-            self.failing_since_ms = self._clock.wall_ms()
-        return LogUnavailableError(detail, unsettled)
-
-    async def append(self, stream: str, data: dict[str, typing.Any]) -> int:
+    async def append(self, name: str, data: dict[str, typing.Any]) -> int:
         """Append one record.
 
-        :param stream: the stream's name.
+        :param name: the log's name.
         :param data: the record, to be stored as JSON.
         :return: the record's offset.
-        :raises LogUnavailableError: without an answer; the error tells
-            whether the record may be in the log all the same.
+        :raises SourceError: without an answer; the error tells whether the
+            record may be in the log all the same.
         """
-        self.calls += 1
-        url = f"{self._url}/streams/{stream}/append"
-        body = orjson.dumps(data)
+        content = {"time_ms": self._clock.wall_ms(), "data": data}
         try:
-            async with self._session.post(
-                url, data=body, timeout=self._timeout
-            ) as response:
-                if response.status == 200:
-                    offset = int((await response.json())["offset"])
-                    self.failing_since_ms = None
-                    return offset
-                unsettled = response.status >= 500
-                raise self._fail(
-                    f"append answered {response.status}", unsettled
-                )
-        except aiohttp.ClientConnectorError as error:
-            raise self._fail(str(error), False) from error
-        except CONNECT_ERRORS as error:
-            raise self._fail(repr(error), True) from error
-
-    async def read(self, stream: str, offset: int, limit: int = 1000) -> Page:
+            offset = await self._store.append(name, orjson.dumps(content))
+        except records.SourceError:
+            self._note_failure()
+            raise
+        self.failing_since_ms = None
+        return offset
+
+    async def read(self, name: str, offset: int) -> records.LogPage:
         """Read records in order.
 
-        :param stream: the stream's name.
-        :param offset: the first offset wanted.
-        :param limit: how many records at most.
-        :raises LogUnavailableError: without an answer.
+        :param name: the log's name.
+        :param offset: the first offset wanted; if it has expired, the page
+            begins with the first one that is kept.
+        :raises SourceError: without an answer.
         """
-        self.calls += 1
-        url = f"{self._url}/streams/{stream}/read"
-        query = {"from": str(offset), "limit": str(limit)}
+        return await self._read(name, offset, None)
+
+    async def read_one(
+        self, name: str, offset: int
+    ) -> records.LogRecord | None:
+        """Return the record at an offset, or none if it has expired.
+
+        :param name: the log's name.
+        :param offset: its offset.
+        :raises SourceError: without an answer.
+        """
+        page = await self._read(name, offset, ONE_RECORD_KB)
+        if not page.records and page.end > offset:
+            page = await self._read(name, offset, None)
+        found = page.records[0] if page.records else None
+        return found if found and found.offset == offset else None
+
+    async def _read(
+        self, name: str, offset: int, most_kb: int | None
+    ) -> records.LogPage:
         try:
-            async with self._session.get(
-                url, params=query, timeout=self._timeout
-            ) as response:
-                if response.status != 200:
-                    raise self._fail(f"read answered {response.status}", False)
-                page = orjson.loads(await response.read())
-        except CONNECT_ERRORS as error:
-            raise self._fail(repr(error), False) from error
+            found = await self._store.read_contents(
+                name, offset, most_kb=most_kb
+            )
+        except records.HistoryGoneError as gone:
+            return await self._read(name, gone.first, most_kb)
+        except records.SourceError:
+            self._note_failure()
+            raise
         self.failing_since_ms = None
-        records = [
-            Record(item["offset"], item["time_ms"], item["data"])
-            for item in page["records"]
-        ]
-        return Page(page["first"], page["end"], records)
+        return records.LogPage(
+            found.first,
+            found.end,
+            [_record(at, c) for at, c in enumerate(found.records, offset)],
+        )
+
+    def _note_failure(self) -> None:
+        if self.failing_since_ms is None:
+            self.failing_since_ms = self._clock.wall_ms()
+
+
+def _record(offset: int, content: bytes) -> records.LogRecord:
+    """Decode a record; one of another writer becomes an empty one."""
+    try:
+        found = orjson.loads(content)
+        return records.LogRecord(offset, found["time_ms"], found["data"])
+    except (ValueError, KeyError, TypeError) as error:
+        LOG.warning(
+            "record skipped",
+            extra={"event": "store.bad_record", "reason": repr(error)},
+        )
+        return records.LogRecord(offset, 0, {})
--- a/src/bulrushdale/platform/registry.py
+++ b/src/bulrushdale/platform/registry.py
@@ -5,8 +5,8 @@
 import orjson
 
 from bulrushdale import clock as clock_module
-from bulrushdale.forwarding import records as records_module
 from bulrushdale.platform import store as store_module
+from bulrushdale import records as records_module
 from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import reports
 
@@ -74,7 +74,7 @@
 ) -> bool:
     """Tell the others where this router is; return whether it was stored."""
     try:
-        await store.append(
+        await store.put(
             store_module.ROUTERS_TOPIC, address, encode_member(member)
         )
     except records_module.SourceError as error:
--- a/src/bulrushdale/platform/store.py
+++ b/src/bulrushdale/platform/store.py
@@ -1,8 +1,9 @@
-"""Client of the platform's store, a log whose keyed topics keep the newest
-record of each key."""
+"""Client of the platform's store: topics of records, of which the keyed ones
+keep the newest record of each key."""
 
 import base64
 from collections import abc
+import dataclasses
 import logging
 
 import aiohttp
@@ -11,7 +12,7 @@
 from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import connections
 from bulrushdale.forwarding import feed
-from bulrushdale.forwarding import records as records_module
+from bulrushdale import records as records_module
 
 LOG = logging.getLogger(__name__)
 
@@ -27,42 +28,66 @@
 _LENGTH_BYTES = 4
 # A read begins with the end and the first offset that is kept.
 _OFFSET_BYTES = 8
+# With these the store has done nothing; without an answer, or with another
+# one, an append may still appear.
+_REFUSED_STATUSES = frozenset({412, 429, 503, 507})
 
 
-def _decode_record(offset: int, data: bytes) -> records_module.KeyedRecord:
-    key_bytes = data[0]
-    key = data[1 : 1 + key_bytes].decode()
-    value = data[1 + key_bytes :]
+@dataclasses.dataclass(frozen=True, slots=True)
+class Contents:
+    """Records as they stand in the store.
+
+    :param first: the oldest offset that is still kept.
+    :param end: one past the newest offset.
+    :param records: what was appended, in order.
+    """
+
+    first: int
+    end: int
+    records: list[bytes]
+
+
+def _decode_record(offset: int, content: bytes) -> records_module.KeyedRecord:
+    key_bytes = content[0]
+    key = content[1 : 1 + key_bytes].decode()
+    value = content[1 + key_bytes :]
     return records_module.KeyedRecord(offset, key, value or None)
 
 
-def encode_record(key: str, value: bytes) -> bytes:
-    """Return a record as an append takes it."""
+def _keyed_content(key: str, value: bytes) -> bytes:
+    """Return the content of a record of a keyed topic."""
     name = key.encode()
-    content = bytes([len(name)]) + name + value
+    return bytes([len(name)]) + name + value
+
+
+def _framed(content: bytes) -> bytes:
     return len(content).to_bytes(_LENGTH_BYTES, "big") + content
 
 
-def _decode_records(
-    offset: int, data: bytes
-) -> list[records_module.KeyedRecord]:
-    records: list[records_module.KeyedRecord] = []
+def _contents(data: bytes) -> list[bytes]:
+    found: list[bytes] = []
     place = 0
     while place + _LENGTH_BYTES <= len(data):
         length = int.from_bytes(data[place : place + _LENGTH_BYTES], "big")
         place += _LENGTH_BYTES
-        content = data[place : place + length]
+        found.append(data[place : place + length])
         place += length
+    return found
+
+
+def _decode_records(
+    offset: int, contents: list[bytes]
+) -> list[records_module.KeyedRecord]:
+    records: list[records_module.KeyedRecord] = []
+    for place, content in enumerate(contents, offset):
         try:
-            records.append(_decode_record(offset + len(records), content))
+            records.append(_decode_record(place, content))
         except (IndexError, UnicodeDecodeError) as error:
             LOG.warning(
                 "record skipped",
                 extra={"event": "store.bad_record", "reason": repr(error)},
             )
-            records.append(
-                records_module.KeyedRecord(offset + len(records), "", None)
-            )
+            records.append(records_module.KeyedRecord(place, "", None))
     return records
 
 
@@ -70,14 +95,21 @@
     """Reads and appends records.
 
     :param session: the HTTP session.
-    :param address: the store's IP and port.
+    :param url: the store's base URL.
+    :param timeout_ms: how long a call may take, besides its wait, in ms.
     """
 
-    __slots__ = ("_session", "_url")
+    __slots__ = ("_session", "_url", "_timeout_ms")
 
-    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        url: str,
+        timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> None:
         self._session = session
-        self._url = f"http://{address}/bulrushdale"
+        self._url = f"{url.rstrip('/')}/bulrushdale"
+        self._timeout_ms = timeout_ms
 
     async def _call(
         self,
@@ -85,10 +117,10 @@
         name: str,
         query: dict[str, str],
         body: bytes | None = None,
-        timeout_ms: int = CALL_TIMEOUT_MS,
+        wait_ms: int = 0,
     ) -> bytes:
         timeout = aiohttp.ClientTimeout(
-            total=timeout_ms / 1000,
+            total=(self._timeout_ms + wait_ms) / 1000,
             sock_connect=connections.CONNECT_TIMEOUT_MS / 1000,
         )
         try:
@@ -100,38 +132,68 @@
                 timeout=timeout,
             ) as response:
                 data = await response.read()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except aiohttp.ClientConnectorError as error:
             raise records_module.SourceError(f"{name}: {error!r}") from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise records_module.SourceError(
+                f"{name}: {error!r}", may_have_taken_effect=True
+            ) from error
         if response.status == 410:
-            raise records_module.HistoryGoneError(name)
+            raise records_module.HistoryGoneError(orjson.loads(data)["first"])
         if response.status != 200:
             raise records_module.SourceError(
-                f"{name} answered {response.status}"
+                f"{name} answered {response.status}",
+                may_have_taken_effect=response.status not in _REFUSED_STATUSES,
             )
         return data
 
-    async def read(
-        self, topic: str, offset: int, wait_ms: int = 0
-    ) -> records_module.Page:
-        """Read records from an offset on.
+    async def read_contents(
+        self,
+        topic: str,
+        offset: int,
+        wait_ms: int = 0,
+        most_kb: int | None = None,
+    ) -> Contents:
+        """Read records as they stand from an offset on.
 
-        :param topic: a keyed topic.
+        :param topic: a topic.
         :param offset: the first offset wanted.
         :param wait_ms: how long to wait for a record, in ms.
+        :param most_kb: how much to read at most, in KB; none for the
+            store's own limit.
         :raises SourceError: without an answer.
         :raises HistoryGoneError: if the records have expired.
         """
         query = {"topic": topic, "part": "0", "from": str(offset)}
         if wait_ms:
             query["wait_ms"] = str(wait_ms)
-        data = await self._call(
-            "GET", "log-read", query, timeout_ms=CALL_TIMEOUT_MS + wait_ms
+        if most_kb is not None:
+            query["max_kb"] = str(most_kb)
+        data = await self._call("GET", "log-read", query, wait_ms=wait_ms)
+        return Contents(
+            first=int.from_bytes(data[_OFFSET_BYTES : 2 * _OFFSET_BYTES]),
+            end=int.from_bytes(data[:_OFFSET_BYTES]),
+            records=_contents(data[2 * _OFFSET_BYTES :]),
         )
-        end = int.from_bytes(data[:_OFFSET_BYTES], "big")
-        records = _decode_records(offset, data[2 * _OFFSET_BYTES :])
-        next_offset = offset + len(records)
+
+    async def read(
+        self, topic: str, offset: int, wait_ms: int = 0
+    ) -> records_module.Page:
+        """Read records of a keyed topic from an offset on.
+
+        :param topic: a keyed topic.
+        :param offset: the first offset wanted.
+        :param wait_ms: how long to wait for a record, in ms.
+        :raises SourceError: without an answer.
+        :raises HistoryGoneError: if the records have expired.
+        """
+        found = await self.read_contents(topic, offset, wait_ms)
+        next_offset = offset + len(found.records)
         return records_module.Page(
-            records, next_offset, next_offset >= end, False
+            _decode_records(offset, found.records),
+            next_offset,
+            next_offset >= found.end,
+            False,
         )
 
     async def newest(self, topic: str) -> records_module.Page:
@@ -182,13 +244,22 @@
 
         return read
 
-    async def append(self, topic: str, key: str, value: bytes) -> None:
-        """Append a record to a keyed topic.
+    async def append(self, topic: str, content: bytes) -> int:
+        """Append a record.
 
-        :raises SourceError: without an answer; the record may have been
-            appended all the same.
+        :param topic: a topic.
+        :param content: the record.
+        :return: its offset.
+        :raises SourceError: without an answer; the error tells whether the
+            record may be in the topic all the same.
         """
         query = {"topic": topic, "part": "0"}
-        await self._call(
-            "POST", "log-append", query, encode_record(key, value)
-        )
+        data = await self._call("POST", "log-append", query, _framed(content))
+        return int(orjson.loads(data)["offset"])
+
+    async def put(self, topic: str, key: str, value: bytes) -> None:
+        """Append a record to a keyed topic.
+
+        :raises SourceError: without an answer, as for `append`.
+        """
+        await self.append(topic, _keyed_content(key, value))
--- a/src/bulrushdale/platform/vms.py
+++ b/src/bulrushdale/platform/vms.py
@@ -5,6 +5,9 @@
 import aiohttp
 import orjson
 
+# What a read raises if the platform can't be reached or doesn't answer.
+READ_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Vm:
@@ -46,8 +49,8 @@
     async def read(self) -> tuple[int, list[Vm]]:
         """Return the list's version and its VMs.
 
-        :raises aiohttp.ClientError: if the platform can't be reached.
-        :raises TimeoutError: if it doesn't answer in time.
+        :raises READ_ERRORS: without an answer.
+        :raises ValueError: if the answer can't be read.
         """
         async with self._session.get(
             self._url, timeout=self._timeout
--- a/src/bulrushdale/settings.py
+++ b/src/bulrushdale/settings.py
@@ -43,7 +43,7 @@
 class Platform(_Section):
     """Where the platform's services are."""
 
-    log_url: str
+    store_url: str
     vm_list_url: str
     poll_interval_ms: PositiveMs = 1000
     request_timeout_ms: PositiveMs = 2000
--- a/src/bulrushdale/web/operators.py
+++ b/src/bulrushdale/web/operators.py
@@ -12,12 +12,11 @@
 from bulrushdale.catalogue import entries
 from bulrushdale.catalogue import fold
 from bulrushdale.catalogue import publisher
-from bulrushdale.platform import log
+from bulrushdale import records
 from bulrushdale import results
 from bulrushdale.web import parts as parts_module
 from bulrushdale.web import respond
 
-PAGE_RECORDS = 1_000
 ENTRY_PATH = "/catalogue/{kind}/{name}"
 
 Handler = typing.Callable[
@@ -234,8 +233,8 @@
     offset = 0
     while True:
         try:
-            page = await parts.log.read(fold.STREAM, offset, PAGE_RECORDS)
-        except log.LogUnavailableError as error:
+            page = await parts.log.read(fold.STREAM, offset)
+        except records.SourceError as error:
             raise results.refuse(
                 results.Code.LOG_UNAVAILABLE, str(error), 2_000
             ) from error
--- a/src/bulrushdale/web/parts.py
+++ b/src/bulrushdale/web/parts.py
@@ -78,7 +78,7 @@
     view: view_module.View
     publisher: publisher_module.Publisher
     tail: tail_module.Tail
-    log: log_module.LogClient
+    log: log_module.Log
     vm_list: vms.VmListClient
     members: members_module.Members
     links: links_module.Links
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -9,8 +9,8 @@
 from bulrushdale.forwarding import settings as settings_module
 from bulrushdale import gateway
 from examples import ports
-from examples.standins import keyed_store
 from examples.standins import scripted_target
+from examples.standins import store as store_standin
 
 
 def make_settings(**changes):
@@ -124,7 +124,7 @@
 
     def __init__(self):
         self.stack = contextlib.AsyncExitStack()
-        self.store = keyed_store.KeyedStore()
+        self.store = store_standin.Store()
         (store_port,) = ports.free_ports(1)
         self.store_address = f"{ports.HOST}:{store_port}"
         self.targets = []
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -6,7 +6,7 @@
 
 from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import feed as feed_module
-from bulrushdale.forwarding import records
+from bulrushdale import records
 
 
 def page(*found, next_offset=None, snapshot=False):
--- a/tests/test_fold.py
+++ b/tests/test_fold.py
@@ -7,12 +7,14 @@
 
 from bulrushdale.catalogue import entries
 from bulrushdale.catalogue import fold
-from bulrushdale.platform import log
+from bulrushdale import records
 
 NAMES = ("gold", "bronze")
 
 
-def edit(offset: int, name: str, expected: int, weight: int) -> log.Record:
+def edit(
+    offset: int, name: str, expected: int, weight: int
+) -> records.LogRecord:
     spec = {"weight": weight, "queue_ms": 10} if weight else None
     data = {
         "type": "edit",
@@ -23,7 +25,7 @@
         "expected": expected,
         "operator": "tester",
     }
-    return log.Record(offset, 1_000, data)
+    return records.LogRecord(offset, 1_000, data)
 
 
 def weights(catalogue: fold.Catalogue) -> dict[str, bytes | None]:
@@ -62,9 +64,9 @@
     early = next(fold.snapshot(source, "early"))
     source.fold(edit(1, "gold", 1, 2))
     late = next(fold.snapshot(source, "late"))
-    kept = [edit(2, "bronze", 0, 7), log.Record(3, 1_000, early)]
+    kept = [edit(2, "bronze", 0, 7), records.LogRecord(3, 1_000, early)]
     assert not fold.restore(fold.Catalogue(), kept)
-    kept.append(log.Record(4, 1_000, late))
+    kept.append(records.LogRecord(4, 1_000, late))
     restored = fold.Catalogue()
     assert fold.restore(restored, kept)
     for record in kept[:2]:
@@ -79,7 +81,7 @@
     parts = list(fold.snapshot(source, "s"))
     assert len(parts) == 2
     first = fold.SNAPSHOT_ENTRIES + 1
-    kept = [log.Record(first, 1_000, parts[0])]
+    kept = [records.LogRecord(first, 1_000, parts[0])]
     assert not fold.restore(fold.Catalogue(), kept)
 
 
@@ -92,7 +94,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.log: list[log.Record] = []
+        self.log: list[records.LogRecord] = []
         self.first = 0
         self.reference = fold.Catalogue()
         self.accepted: dict[tuple[str, int], bytes | None] = {}
@@ -100,7 +102,7 @@
         self.seen: list[dict[str, int]] = [{} for _ in self.readers]
         self.stored: list[list[entries.Entry]] = []
 
-    def append(self, record: log.Record) -> None:
+    def append(self, record: records.LogRecord) -> None:
         self.log.append(record)
         self.reference.fold(record)
         for entry in self.reference.everything():
@@ -120,13 +122,13 @@
     @stateful.rule()
     def snapshot(self) -> None:
         data = next(fold.snapshot(self.reference, str(len(self.log))))
-        self.append(log.Record(len(self.log), 1_000, data))
+        self.append(records.LogRecord(len(self.log), 1_000, data))
 
     @stateful.rule(data=st.data())
     def stale_snapshot(self, data: st.DataObject) -> None:
         reader = data.draw(st.sampled_from(self.readers))
         content = next(fold.snapshot(reader, f"stale-{len(self.log)}"))
-        self.append(log.Record(len(self.log), 1_000, content))
+        self.append(records.LogRecord(len(self.log), 1_000, content))
 
     @stateful.rule(data=st.data())
     def expire(self, data: st.DataObject) -> None:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -6,7 +6,7 @@
 
 from bulrushdale.claims import keys
 from bulrushdale.claims import ledger
-from bulrushdale.platform import log
+from bulrushdale import records
 
 LIFE_MS = 10_000_000
 KEY = keys.Key((1_000_000).to_bytes(6, "big") + b"0123456789")
@@ -25,7 +25,7 @@
 def fold(items: list[ledger.Item]) -> ledger.Ledger:
     found = ledger.Ledger(LIFE_MS)
     for offset, one in enumerate(items):
-        found.fold(log.Record(offset, 1_000_000, ledger.encode([one])))
+        found.fold(records.LogRecord(offset, 1_000_000, ledger.encode([one])))
     return found
 
 
@@ -92,7 +92,9 @@
     def ledger(self) -> ledger.Ledger:
         found = ledger.Ledger(LIFE_MS)
         for offset, (time_ms, one) in enumerate(self.records):
-            found.fold(log.Record(offset, time_ms, ledger.encode([one])))
+            found.fold(
+                records.LogRecord(offset, time_ms, ledger.encode([one]))
+            )
         return found
 
     def draw(self, data: st.DataObject, *states: str) -> bytes:
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -11,7 +11,7 @@
 from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import events
 from bulrushdale.forwarding import feed as feed_module
-from bulrushdale.forwarding import records
+from bulrushdale import records
 from bulrushdale.routing import revisions as revisions_module
 from bulrushdale.routing import routes
 from bulrushdale.routing import targets as targets_module
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,7 +8,7 @@
 
 from bulrushdale.forwarding import feed as feed_module
 from bulrushdale.forwarding import links
-from bulrushdale.forwarding import records
+from bulrushdale import records
 from bulrushdale.routing import digest
 from bulrushdale.routing import health
 from bulrushdale.routing import peers as peers_module
--- a/tests/test_proof_catalogue.py
+++ b/tests/test_proof_catalogue.py
@@ -44,9 +44,11 @@
         assert time.monotonic() < deadline
         await asyncio.sleep(1)
         async with up.session.get(
-            f"{up.urls['log']}/streams/catalogue/read?from=0&limit=1"
+            f"{up.urls['store']}/bulrushdale/log-read",
+            params={"topic": "catalogue", "part": "0", "from": "0"},
         ) as response:
-            first = (await response.json(content_type=None))["first"]
+            if response.status == 410:
+                first = (await response.json(content_type=None))["first"]
     for name in up.router_names():
         up.kill(name)
     for name in up.router_names():
@@ -62,4 +64,4 @@
 async def test_a_new_vm_learns_from_a_peer_without_the_log(up) -> None:
     await up.wait_ready()
     await replay.Replay(up).run("new_vm_without_log")
-    await up.faults("log", outage=False)
+    await up.faults("store", refuse=None)
--- a/tests/test_proof_kill.py
+++ b/tests/test_proof_kill.py
@@ -45,15 +45,15 @@
         "mid-a-router-1",
         "mid-a-router-2",
         "vm-list",
-        "log",
+        "store",
     ],
 )
 async def test_the_others_serve(up, name: str) -> None:
     up.kill(name)
     alive = [router for router in up.router_names() if router != name]
     for router in alive:
-        await serving(up, router, orders=name != "log")
-    if name == "log":
+        await serving(up, router, orders=name != "store")
+    if name == "store":
         return
     await up.restart(name)
     if name == "vm-list":
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from bulrushdale.forwarding import records
 from bulrushdale.platform import registry
+from bulrushdale import records
 from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import reports
 
@@ -21,7 +21,7 @@
         self.reads = 0
         self.away = False
 
-    async def append(self, topic, key, value):
+    async def put(self, topic, key, value):
         await asyncio.sleep(0)
         if self.away:
             raise records.SourceError("away")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -15,7 +15,7 @@
         "link_port": 8003,
     },
     "platform": {
-        "log_url": "http://127.0.0.1:7001",
+        "store_url": "http://127.0.0.1:7001",
         "vm_list_url": "http://127.0.0.1:7002/vms",
     },
     "fleet_secret": "a-secret-of-the-fleet",
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -5,12 +5,17 @@
 import socket
 
 import aiohttp
+from aiohttp import web
 import pytest
+import pytest_asyncio
 
+from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import connections
-from bulrushdale.forwarding import records
+from bulrushdale.platform import log as log_module
 from bulrushdale.platform import store as store_module
+from bulrushdale import records
 from examples import ports
+from examples.standins import store as store_standin
 
 
 @pytest.fixture
@@ -33,9 +38,81 @@
     """After the cut the next try must not wait for the end of this one."""
     loop = asyncio.get_running_loop()
     async with aiohttp.ClientSession() as session:
-        store = store_module.Store(session, silent_address)
+        store = store_module.Store(session, f"http://{silent_address}")
         begun = loop.time()
         with pytest.raises(records.SourceError):
             await store.read("keyed.op", 0, wait_ms)
     limit_ms = connections.CONNECT_TIMEOUT_MS
     assert (loop.time() - begun) * 1_000 < 3 * limit_ms
+
+
+@pytest_asyncio.fixture
+async def kept():
+    """A store's stand-in and a log in it."""
+    async with contextlib.AsyncExitStack() as stack:
+        standin = store_standin.Store()
+        runner = web.AppRunner(standin.app(), shutdown_timeout=0.1)
+        await runner.setup()
+        stack.push_async_callback(runner.cleanup)
+        (port,) = ports.free_ports(1)
+        await web.TCPSite(runner, ports.HOST, port).start()
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        store = store_module.Store(session, f"http://{ports.HOST}:{port}")
+        yield standin, log_module.Log(store, clock_module.Clock())
+
+
+async def test_records_come_back_in_order(kept):
+    _, log = kept
+    for number in range(3):
+        assert await log.append("orders", {"number": number}) == number
+    page = await log.read("orders", 1)
+    assert (page.first, page.end) == (0, 3)
+    assert [(r.offset, r.data["number"]) for r in page.records] == [
+        (1, 1),
+        (2, 2),
+    ]
+
+
+async def test_what_has_expired_is_passed_over(kept):
+    standin, log = kept
+    await log.append("orders", {"number": 0})
+    standin.retention_ms = 0
+    await asyncio.sleep(0.002)
+    page = await log.read("orders", 0)
+    assert (page.first, page.end, page.records) == (1, 1, [])
+    assert await log.read_one("orders", 0) is None
+
+
+async def test_one_record_is_read_whatever_its_size(kept):
+    _, log = kept
+    text = "x" * 2 * 1024 * log_module.ONE_RECORD_KB
+    offset = await log.append("orders", {"text": text})
+    found = await log.read_one("orders", offset)
+    assert found is not None
+    assert found.data == {"text": text}
+
+
+async def test_only_a_refused_append_has_no_effect(kept):
+    """Whoever is told "not run" sends it again; it must not be there."""
+    standin, log = kept
+    standin.refuse = 503
+    with pytest.raises(records.SourceError) as refused:
+        await log.append("orders", {})
+    assert not refused.value.may_have_taken_effect
+    assert log.failing_since_ms is not None
+    standin.refuse = None
+    standin.lose_answers = 1
+    with pytest.raises(records.SourceError) as lost:
+        await log.append("orders", {})
+    assert lost.value.may_have_taken_effect
+    page = await log.read("orders", 0)
+    assert page.end == 1
+    assert log.failing_since_ms is None
+
+
+async def test_record_of_another_writer_is_passed_over(kept):
+    standin, log = kept
+    await standin.put("orders", "", b"not a record")
+    await log.append("orders", {"number": 1})
+    page = await log.read("orders", 0)
+    assert [record.data for record in page.records] == [{}, {"number": 1}]
