A start counts for the mean only once its target has begun it

Now the router tells the home when the target has begun (the head of its answer came; 40 ms after sending for services, which answer at their end), and a home that takes over is told with the held slots. A stream that is given up keeps its slot until it has been cancelled.

The report of a broken bound now tells how long ago the mean allowed the start.

Price: one more short message for each slot.

--- a/bench/model.py
+++ b/bench/model.py
@@ -326,6 +326,7 @@
                 desk.release("router", seq)
 
             start(engine, release)
+            desk.begin("router", seq)
 
         self.granted[seq] = granted
         now_ms = self.clock.now_ms()
--- a/src/bulrushdale/admission/desk.py
+++ b/src/bulrushdale/admission/desk.py
@@ -186,7 +186,6 @@
 
     def _room(self, targets: Targets) -> room_module.Room:
         """Return the load and the bound of each target now."""
-        self._ledger.age()
         standing = self._standing()
         if not targets or not standing.majority:
             return room_module.Room({}, {}, [])
@@ -305,23 +304,22 @@
             ),
         )
 
+    def begin(self, router: str, seq: int) -> None:
+        """Note that a target has begun the work of a slot."""
+        self._ledger.begin((router, seq))
+        self._drain()
+
     def attach(
-        self, router: str, held: list[tuple[int, str, str, int]]
+        self, router: str, held: dict[int, ledger.Slot], begun: set[int]
     ) -> None:
         """Take over what a router holds.
 
         :param router: the router that is now attached here.
-        :param held: number, target, team and tokens of each slot.
+        :param held: its slots by number.
+        :param begun: those whose work the targets have begun.
         """
         self._remove_queued(router)
-        now_ms = self._clock.now_ms()
-        self._ledger.replace(
-            router,
-            {
-                seq: ledger.Slot(target, team, tokens, now_ms)
-                for seq, target, team, tokens in held
-            },
-        )
+        self._ledger.replace(router, held, begun)
         self._drain()
 
     def detach(self, router: str) -> None:
--- a/src/bulrushdale/admission/desks.py
+++ b/src/bulrushdale/admission/desks.py
@@ -6,6 +6,7 @@
 
 from bulrushdale.admission import bound
 from bulrushdale.admission import desk as desk_module
+from bulrushdale.admission import ledger
 from bulrushdale.admission import queue
 from bulrushdale.admission import reply as reply_module
 from bulrushdale.admission import scope as scope_module
@@ -166,8 +167,13 @@
         """Take a router on, with the slots that it holds."""
         self._attached[key].add(router)
         self._expire_standing(key)
-        slots = [(h.seq, h.target, h.team, h.tokens) for h in held]
-        self.desk(key).attach(router, slots)
+        now_ms = self._scope.clock.now_ms()
+        slots = {
+            h.seq: ledger.Slot(h.target, h.team, h.tokens, now_ms)
+            for h in held
+        }
+        begun = {h.seq for h in held if h.begun}
+        self.desk(key).attach(router, slots, begun)
 
     def detach(self, key: seat_module.ShardKey, router: str) -> None:
         """Let a router go to another home."""
@@ -213,6 +219,13 @@
             tuple(request.excluded),
         )
 
+    def begin(self, router: str, seq: int) -> None:
+        """Note that a target has begun the work of a slot."""
+        for desk in self._desks.values():
+            if desk.knows(router, seq):
+                desk.begin(router, seq)
+                return
+
     def release(self, router: str, seq: int) -> None:
         """Take back a slot, or a request that still waits."""
         for desk in self._desks.values():
--- a/src/bulrushdale/admission/ledger.py
+++ b/src/bulrushdale/admission/ledger.py
@@ -9,8 +9,6 @@
 
 # A report may be as old as this when it arrives.
 REPORT_LAG_MS = 1_000
-# So long a request may be under way to its target after its grant.
-ARRIVAL_MS = 40
 
 SlotKey = tuple[str, int]
 
@@ -72,9 +70,8 @@
         "_load",
         "_tokens",
         "_teams",
-        "_young",
-        "_young_slots",
-        "_recent",
+        "_coming",
+        "_coming_slots",
         "_lost",
         "_orphaned",
         "_history",
@@ -90,11 +87,8 @@
         self._load: collections.Counter[str] = collections.Counter()
         self._tokens: collections.Counter[str] = collections.Counter()
         self._teams: collections.Counter[str] = collections.Counter()
-        self._young: collections.Counter[str] = collections.Counter()
-        self._young_slots: dict[SlotKey, str] = {}
-        self._recent: collections.deque[tuple[SlotKey, int]] = (
-            collections.deque()
-        )
+        self._coming: collections.Counter[str] = collections.Counter()
+        self._coming_slots: dict[SlotKey, str] = {}
         self._lost: dict[str, int] = {}
         self._orphaned: collections.Counter[str] = collections.Counter()
         self._history: dict[str, History] = {}
@@ -136,13 +130,13 @@
     def certain_load(self, target: str, standing: bound.Standing) -> int:
         """Return how much surely runs on a target.
 
-        A request that was granted a moment ago may not have arrived, and
-        the answers of a lost router may have ended. While routers are
-        missing, what a target reported beside its grants is theirs and
-        may have ended too.
+        A request counts once its router has told that the target began it:
+        on a busy machine it may be under way for long. The answers of a lost
+        router may have ended. While routers are missing, what a target
+        reported beside its grants is theirs and may have ended too.
         """
         own = self._load[target]
-        sure = own - self._orphaned[target] - self._young[target]
+        sure = own - self._orphaned[target] - self._coming[target]
         beside = self._sure.get(target, 0) if standing.complete else 0
         return max(0, sure) + beside
 
@@ -161,11 +155,11 @@
             self._unknown.clear()
 
     def grant(self, key: SlotKey, slot: Slot) -> None:
-        """Add a slot whose request has yet to arrive at its target."""
+        """Add a slot whose work the target has yet to begin."""
         self.add(key, slot)
-        self._young[slot.target] += 1
-        self._young_slots[key] = slot.target
-        self._recent.append((key, slot.since_ms))
+        if key not in self._coming_slots:
+            self._coming[slot.target] += 1
+            self._coming_slots[key] = slot.target
 
     def add(self, key: SlotKey, slot: Slot) -> None:
         """Add a slot whose request runs already; a known one stays."""
@@ -186,36 +180,34 @@
         _decrease(self._tokens, slot.target, slot.tokens)
         _decrease(self._teams, slot.team, 1)
         self._note_load(slot.target)
-        self._arrived(key)
+        self.begin(key)
         return slot
 
-    def age(self) -> None:
-        """Count the requests as arrived that were granted long enough ago."""
-        before_ms = self._clock.now_ms() - ARRIVAL_MS
-        while self._recent and self._recent[0][1] <= before_ms:
-            key, since_ms = self._recent.popleft()
-            slot = self._slots.get(key)
-            if slot is not None and slot.since_ms == since_ms:
-                self._arrived(key)
-
-    def _arrived(self, key: SlotKey) -> None:
-        """Count a request as arrived, or as gone."""
-        target = self._young_slots.pop(key, None)
+    def begin(self, key: SlotKey) -> None:
+        """Note that a target has begun the work of a slot, or never will."""
+        target = self._coming_slots.pop(key, None)
         if target is not None:
-            _decrease(self._young, target, 1)
+            _decrease(self._coming, target, 1)
 
-    def replace(self, router: str, held: dict[int, Slot]) -> None:
+    def replace(
+        self, router: str, held: dict[int, Slot], begun: set[int]
+    ) -> None:
         """Take a router's own word for what it holds.
 
         :param router: the router.
         :param held: its slots by number.
+        :param begun: those whose work the targets have begun.
         """
         self._lost.pop(router, None)
         self._count_orphans()
         known = {key for key in self._slots if key[0] == router}
         for seq, slot in held.items():
-            self.add((router, seq), slot)
-            known.discard((router, seq))
+            key = (router, seq)
+            known.discard(key)
+            if key not in self._slots:
+                self.grant(key, slot)
+            if seq in begun:
+                self.begin(key)
         for key in known:
             self.drop(key)
 
--- a/src/bulrushdale/admission/seats.py
+++ b/src/bulrushdale/admission/seats.py
@@ -171,6 +171,7 @@
                 target=reply.target,
                 team=need.team,
                 tokens=need.tokens,
+                begun=bool(resumed),
             )
         else:
             del self._asked[seq]
@@ -218,6 +219,23 @@
         if link is not None:
             link.queue().slot_requests.append(waiting.request)
 
+    def begin(self, grant: seat_module.Grant) -> None:
+        """Tell the home that the target has begun the work of a slot.
+
+        Only then does it count for the mean, and so for the bound.
+        """
+        held = grant.seat.held.get(grant.seq)
+        if held is None or held.begun:
+            return
+        held.begun = True
+        home = grant.seat.home
+        if home == self._scope.own:
+            self._own_desks.begin(home, grant.seq)
+            return
+        link = self._scope.links.get(home or "")
+        if link is not None:
+            link.queue().begun.append(grant.seq)
+
     def release(self, grant: seat_module.Grant) -> None:
         """Return a slot; a second call does nothing."""
         if grant.seat.held.pop(grant.seq, None) is not None:
--- a/src/bulrushdale/peering.py
+++ b/src/bulrushdale/peering.py
@@ -97,6 +97,8 @@
         for attach in frame.attaches:
             key = (attach.pool, attach.shard)
             parts.desks.attach(key, peer, list(attach.held))
+        for seq in frame.begun:
+            parts.desks.begin(peer, seq)
         for seq in frame.releases:
             parts.desks.release(peer, seq)
         for request in frame.slot_requests:
--- a/src/bulrushdale/web/calls.py
+++ b/src/bulrushdale/web/calls.py
@@ -1,5 +1,6 @@
 """One call of a service's target."""
 
+import asyncio
 import dataclasses
 
 import aiohttp
@@ -14,6 +15,8 @@
 
 
 CONNECT_TIMEOUT_MS = 1_000
+# So long a call may be under way to its target, some times a busy VM's delay.
+BEGIN_MS = 40
 NOT_CONNECTED = (
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
@@ -75,6 +78,10 @@
         total=one_call.spec.call_timeout_ms / 1000,
         sock_connect=CONNECT_TIMEOUT_MS / 1000,
     )
+    # A service answers at its end only; what was sent counts as begun.
+    begin = asyncio.get_running_loop().call_later(
+        BEGIN_MS / 1000, parts.seats.begin, grant
+    )
     try:
         async with session.request(
             one_call.method,
@@ -90,6 +97,8 @@
         raise NotSentError(repr(error)) from error
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         raise UnansweredError(repr(error)) from error
+    finally:
+        begin.cancel()
 
 
 async def acquire(
--- a/src/bulrushdale/web/chats.py
+++ b/src/bulrushdale/web/chats.py
@@ -184,7 +184,6 @@
         try:
             return await _start(parts, caller, need, grant, body)
         except source_module.NotStartedError as error:
-            parts.seats.release(grant)
             caller.story.step("not started", f"{grant.target}: {error}")
             if error.overloaded:
                 await parts.clock.sleep_ms(OVERLOAD_DELAY_MS)
@@ -192,9 +191,6 @@
                 failed += (grant.target,)
             if not parts.activity.retry_budget.spend():
                 break
-        except BaseException:
-            parts.seats.release(grant)
-            raise
     raise results.refuse(
         results.Code.NO_TARGET,
         "no engine began the answer",
@@ -226,8 +222,10 @@
     grant: seat_module.Grant,
     body: bytes,
 ) -> Answer:
+    """Start the call on the engine of a grant; give it back on failure."""
     target = parts.targets.get(grant.target)
     if target is None or not parts.seats.usable(grant):
+        parts.seats.release(grant)
         raise source_module.NotStartedError("the slot is too old", True)
     source = source_module.Source(
         parts.session, target.url, caller.request_id, parts.clock
@@ -238,9 +236,10 @@
             headers = telemetry.inject() if parts.telemetry.tracing else {}
             headers["Content-Type"] = respond.JSON
             await source.start(body, headers)
+            parts.seats.begin(grant)
             first = await anext(batches)
     except BaseException:
-        _abandon(source)
+        _abandon(parts, source, grant)
         raise
     answer_id = ids.AnswerId(
         need.pool, grant.target, source.stream, caller.request_id
@@ -252,9 +251,23 @@
 _cancelling: set[asyncio.Task[None]] = set()
 
 
-def _abandon(source: source_module.Source) -> None:
-    """Cancel a stream at its engine, in the background."""
-    task = asyncio.create_task(source.cancel())
+def _abandon(
+    parts: parts_module.Parts,
+    source: source_module.Source,
+    grant: seat_module.Grant,
+) -> None:
+    """Cancel a stream at its engine, in the background.
+
+    Its slot is free only then: until it is cancelled it runs on.
+    """
+
+    async def cancel() -> None:
+        try:
+            await source.cancel()
+        finally:
+            parts.seats.release(grant)
+
+    task = asyncio.create_task(cancel())
     _cancelling.add(task)
     task.add_done_callback(_cancelling.discard)
 
@@ -274,9 +287,9 @@
         caller.story.step("engine resumed", f"{answer.source.resumes} times")
     if answer.source.done:
         answer.source.finish()
+        parts.seats.release(answer.grant)
     else:
-        _abandon(answer.source)
-    parts.seats.release(answer.grant)
+        _abandon(parts, answer.source, answer.grant)
 
 
 async def _stream(
--- a/tests/replay.py
+++ b/tests/replay.py
@@ -442,6 +442,7 @@
     events.sort()
     loads: collections.Counter = collections.Counter()
     totals: collections.deque = collections.deque()
+    means: list[tuple[int, float]] = []
     report = BoundReport(0, 0, [], [])
     for at, delta, name in events:
         loads[name] += delta
@@ -450,6 +451,7 @@
         total = sum(loads[one] for one in serving)
         mean = total / len(serving)
         totals.append((at, mean))
+        means.append((at, mean))
         while totals[0][0] < at - window_ms * 1_000_000:
             totals.popleft()
         if mean >= 1:
@@ -465,5 +467,14 @@
         if loads[name] <= earlier:
             report.moved += 1
         else:
-            report.broken.append(f"{name}: {loads[name]} above {earlier}")
+            fits = [
+                when
+                for when, one in means
+                if math.ceil(multiple * one) >= loads[name]
+            ]
+            age = f"{(at - fits[-1]) // 1_000_000} ms" if fits else "never"
+            report.broken.append(
+                f"{name}: {loads[name]} above {earlier}, allowed by the mean"
+                f" last: {age}"
+            )
     return report
--- a/tests/slot_network.py
+++ b/tests/slot_network.py
@@ -320,7 +320,9 @@
         need = seat_module.Need(POOL, "bakery", "gold", 1, 10_000, affinity)
 
         async def hold() -> None:
-            node.grants.append(await node.seats.acquire(need))
+            grant = await node.seats.acquire(need)
+            node.seats.begin(grant)
+            node.grants.append(grant)
 
         node.asking.append(self.loop.create_task(hold()))
         self.spin()
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -73,9 +73,14 @@
                 now_ms + 5_000,
             )
         )
-        self.later(50)
+        self.begin()
         return self.seq
 
+    def begin(self) -> None:
+        """Let the targets begin whatever was granted."""
+        for seq in list(self.replies):
+            self.desk.begin("router-0", seq)
+
     def later(self, delta_ms: int) -> None:
         self.clock.advance(delta_ms)
         self.desk.tick()
@@ -86,6 +91,16 @@
     def finish(self, seq: int) -> None:
         self.desk.release("router-0", seq)
         self.later(50)
+        self.begin()
+
+
+def attach(office: Office, router: str, held: dict[int, str]) -> None:
+    """Attach a router that holds slots of work that has begun."""
+    slots = {
+        seq: ledger.Slot(target, "bakery", 1, office.clock.now_ms())
+        for seq, target in held.items()
+    }
+    office.desk.attach(router, slots, set(slots))
 
 
 @pytest.fixture
@@ -104,12 +119,14 @@
 def test_starts_that_may_be_under_way_do_not_raise_the_bound(
     office: Office,
 ) -> None:
-    advance = office.later
-    office.later = lambda _: None
+    """A busy machine may need any time for the way to the target."""
+    begin = office.begin
+    office.begin = lambda: None
     for _ in range(20):
         office.ask()
+    office.later(2_000)
     assert len(office.granted()) == 8
-    advance(50)
+    begin()
     assert len(office.granted()) > 8
 
 
@@ -197,7 +214,7 @@
     asked_ms = office.clock.now_ms()
     last = office.ask()
     assert office.replies[last].code == results.Code.QUEUE_FULL
-    assert office.clock.now_ms() - asked_ms == 50
+    assert office.clock.now_ms() == asked_ms
     assert office.replies[last].retry_after_ms >= 200
 
 
@@ -323,8 +340,7 @@
 ) -> None:
     for target in office.targets:
         office.desk.note_report(target.name, 0)
-    held = [(n, f"engine-{n % 4}", "bakery", 1) for n in range(20)]
-    office.desk.attach("router-1", held)
+    attach(office, "router-1", {n: f"engine-{n % 4}" for n in range(20)})
     office.later(ledger.REPORT_LAG_MS + 1)
     for target in office.targets:
         office.desk.note_report(target.name, 5)
@@ -343,8 +359,7 @@
     for number, target in enumerate(office.targets):
         office.desk.note_report(target.name, 8 if number < 3 else 0)
     # Most of it has ended before its router is attached.
-    held = [(n, f"engine-{n % 3}", "bakery", 1) for n in range(10)]
-    office.desk.attach("router-1", held)
+    attach(office, "router-1", {n: f"engine-{n % 3}" for n in range(10)})
     office.standing = bound.Standing(True, True, 0)
     for _ in range(6):
         office.ask()
@@ -352,3 +367,33 @@
     granted = office.granted()
     assert granted
     assert all(office.replies[seq].bound <= 5 for seq in granted)
+
+
+def test_work_that_comes_with_its_router_counts_once_it_has_begun(
+    office: Office,
+) -> None:
+    now_ms = office.clock.now_ms()
+    held = {
+        seq: ledger.Slot(f"engine-{seq % 4}", "bakery", 1, now_ms)
+        for seq in range(16)
+    }
+    office.desk.attach("router-1", held, set())
+    office.ask()
+    assert office.granted() == []
+    office.desk.attach("router-1", held, set(held))
+    office.ask()
+    assert office.granted()
+
+
+def test_the_end_of_work_that_never_began_leaves_nothing(
+    office: Office,
+) -> None:
+    begin = office.begin
+    office.begin = lambda: None
+    seq = office.ask()
+    office.finish(seq)
+    office.desk.begin("router-0", seq)
+    office.begin = begin
+    for _ in range(40):
+        office.ask()
+    assert len(office.granted()) == 1 + 40
