Stopping a router: a module of its own, with a state machine

The router's stop was checked by one play only. forwarding/drain.py holds its order now (idle connections, notice, port, requests), and Stopping in test_machines plays callers that come, ask and wait while it stops. It failed on: the port closed before the notice, no waiting, no limit, every connection closed, requests taken once the port was closed. The look for the last request's end is made every 20 ms instead of 50.

--- /dev/null
+++ b/src/bulrushdale/forwarding/drain.py
@@ -0,0 +1,47 @@
+"""How a router stops without cutting off anything."""
+
+from collections import abc
+
+from aiohttp import web
+
+from bulrushdale import clock as clock_module
+from bulrushdale.forwarding import callers as callers_module
+
+# How often a stopping router looks whether its requests have ended; the time
+# is added to a stop, so it is short against the shortest request.
+POLL_MS = 20
+
+
+async def drain(
+    activity: callers_module.Activity,
+    server: web.Server,
+    close_ports: abc.Callable[[], abc.Awaitable[None]],
+    clock: clock_module.Clock,
+    notice_ms: int,
+    timeout_ms: int,
+) -> int:
+    """Take no more connections, and let every request end.
+
+    Until callers have noticed, new connections are served as before: those
+    that come were sent by someone who doesn't know yet. Connections without
+    a request are closed at once and again after that time, the others with
+    the end of their request.
+
+    :param activity: the requests being served.
+    :param server: holds the callers' connections.
+    :param close_ports: ends listening.
+    :param clock: the clock.
+    :param notice_ms: how long callers may take to notice, in ms.
+    :param timeout_ms: how long all of it may take, in ms.
+    :return: how many requests are cut off since the time was up.
+    """
+    deadline_ms = clock.now_ms() + timeout_ms
+    activity.draining = True
+    activity.close_idle(server)
+    await clock.sleep_ms(notice_ms)
+    await close_ports()
+    activity.close_idle(server)
+    activity.closed = True
+    while activity.requests and clock.now_ms() < deadline_ms:
+        await clock.sleep_ms(POLL_MS)
+    return activity.requests
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -14,6 +14,7 @@
 from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import callers
 from bulrushdale.forwarding import connections
+from bulrushdale.forwarding import drain as drain_module
 from bulrushdale.forwarding import feed as feed_module
 from bulrushdale.forwarding import gauges
 from bulrushdale.forwarding import links as links_module
@@ -50,7 +51,6 @@
 # cost a read for each.
 TARGETS_INTERVAL_MS = 600
 EXPIRE_INTERVAL_MS = 250
-DRAIN_POLL_MS = 50
 
 
 class Gateway(aiomisc.Service):
@@ -329,7 +329,6 @@
 
         :param exception: why the router stops, if not on a signal.
         """
-        self._activity.draining = True
         LOG.info(
             "router drains",
             extra={
@@ -337,21 +336,17 @@
                 "requests": self._activity.requests,
             },
         )
-        deadline_ms = self._clock.now_ms() + self.settings.drain_timeout_ms
-        self._activity.close_idle(self._callers_server)
-        await self._clock.sleep_ms(self.settings.drain_notice_ms)
-        for site in list(self._callers.sites):
-            await site.stop()
-        self._activity.close_idle(self._callers_server)
-        self._activity.closed = True
-        while self._activity.requests and self._clock.now_ms() < deadline_ms:
-            await self._clock.sleep_ms(DRAIN_POLL_MS)
+        cut_off = await drain_module.drain(
+            self._activity,
+            self._callers_server,
+            self._close_callers_port,
+            self._clock,
+            self.settings.drain_notice_ms,
+            self.settings.drain_timeout_ms,
+        )
         LOG.info(
             "router stops",
-            extra={
-                "event": "router.stopped",
-                "requests": self._activity.requests,
-            },
+            extra={"event": "router.stopped", "requests": cut_off},
         )
         for task in self._work:
             task.cancel()
@@ -361,6 +356,10 @@
         await self._links.stop()
         await self._stack.aclose()
 
+    async def _close_callers_port(self) -> None:
+        for site in list(self._callers.sites):
+            await site.stop()
+
 
 def _as_it_is(_: str, value: bytes) -> object:
     return value
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -1,14 +1,20 @@
-"""State machines: copies of a topic, leaving targets, versions, streams.
+"""State machines: copies of a topic, targets that leave, versions, streams and
+a router that stops.
 
 Hypothesis plays random series of what the world does to each of them, always
 the same ones, and checks what must hold after every step.
 """
 
+import asyncio
+import types
+
 from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies as st
 
 from bulrushdale import clock as clock_module
+from bulrushdale.forwarding import callers
+from bulrushdale.forwarding import drain
 from bulrushdale.forwarding import events
 from bulrushdale.forwarding import feed as feed_module
 from bulrushdale import records
@@ -253,10 +259,137 @@
         assert count == (0 if last is None else last + 1)
 
 
-for machine in (Copies, Leaving, Versions, Joining):
+class SteppedClock(clock_module.ManualClock):
+    """Sleepers go on when the clock was moved far enough."""
+
+    async def sleep_ms(self, delay_ms):
+        until_ms = self.now_ms() + delay_ms
+        while self.now_ms() < until_ms:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+
+
+class Connection:
+    """A caller's connection and what became of it."""
+
+    def __init__(self, busy):
+        self.busy = busy
+        self.open = True
+        self.last = False
+        self.cut = False
+
+    def close(self):
+        self.last = True
+
+    def force_close(self):
+        self.open = False
+        self.cut = self in self.busy
+
+
+class Stopping(stateful.RuleBasedStateMachine):
+    """A router that is told to stop while callers come, ask and wait."""
+
+    NOTICE_MS = 1_000
+    TIMEOUT_MS = 8_000
+
+    def __init__(self):
+        super().__init__()
+        self.clock = SteppedClock()
+        self.activity = callers.Activity()
+        self.server = types.SimpleNamespace(connections=[])
+        self.stop_ms = None
+        self.listening = True
+        self.stopping = None
+        self.cut_off = None
+
+    async def close_ports(self):
+        self.listening = False
+
+    def go_on(self):
+        if self.stopping is None or self.cut_off is not None:
+            return
+        try:
+            self.stopping.send(None)
+        except StopIteration as end:
+            self.cut_off = end.value
+
+    def pick(self, data, busy):
+        fit = [
+            connection
+            for connection in self.server.connections
+            if connection.open and (connection in self.activity.busy) == busy
+        ]
+        return data.draw(st.sampled_from(fit)) if fit else None
+
+    @stateful.rule()
+    def connect(self):
+        if self.listening:
+            self.server.connections.append(Connection(self.activity.busy))
+
+    @stateful.rule(data=st.data())
+    def ask(self, data):
+        connection = self.pick(data, busy=False)
+        if connection is not None and not self.activity.closed:
+            self.activity.busy.add(connection)
+
+    @stateful.rule(data=st.data())
+    def answer(self, data):
+        connection = self.pick(data, busy=True)
+        if connection is not None:
+            self.activity.busy.discard(connection)
+            if connection.last or self.activity.draining:
+                connection.open = False
+
+    @stateful.rule(delta_ms=st.sampled_from([10, 1_500, 9_000]))
+    def wait(self, delta_ms):
+        self.clock.advance(delta_ms)
+        self.go_on()
+
+    @stateful.precondition(lambda self: self.stopping is None)
+    @stateful.rule()
+    def stop(self):
+        self.stop_ms = self.clock.now_ms()
+        self.stopping = drain.drain(
+            self.activity,
+            self.server,
+            self.close_ports,
+            self.clock,
+            self.NOTICE_MS,
+            self.TIMEOUT_MS,
+        )
+        self.go_on()
+
+    @stateful.invariant()
+    def no_request_is_cut(self):
+        assert not any(c.cut for c in self.server.connections)
+
+    @stateful.invariant()
+    def callers_have_time_to_notice(self):
+        if self.stop_ms is None:
+            assert self.listening
+        elif self.clock.now_ms() - self.stop_ms < self.NOTICE_MS:
+            assert self.listening
+            assert not self.activity.closed
+
+    @stateful.invariant()
+    def nothing_new_begins_once_the_port_is_closed(self):
+        assert self.activity.closed != self.listening
+
+    @stateful.invariant()
+    def it_ends_with_the_last_request_or_in_time(self):
+        if self.stop_ms is None:
+            return
+        spent_ms = self.clock.now_ms() - self.stop_ms
+        if self.cut_off is None:
+            assert spent_ms < self.TIMEOUT_MS
+        elif self.cut_off:
+            assert spent_ms >= self.TIMEOUT_MS
+
+
+for machine in (Copies, Leaving, Versions, Joining, Stopping):
     machine.TestCase.settings = SERIES
 
 TestCopies = Copies.TestCase
 TestLeaving = Leaving.TestCase
 TestVersions = Versions.TestCase
 TestJoining = Joining.TestCase
+TestStopping = Stopping.TestCase
