--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -325,6 +325,12 @@
         if self.listening:
             self.server.connections.append(Connection(self.activity.busy))
 
+    @stateful.rule()
+    def connect_and_ask(self):
+        if self.listening:
+            self.connect()
+            self.activity.busy.add(self.server.connections[-1])
+
     @stateful.rule(data=st.data())
     def ask(self, data):
         connection = self.pick(data, busy=False)
@@ -339,7 +345,7 @@
             if connection.last or self.activity.draining:
                 connection.open = False
 
-    @stateful.rule(delta_ms=st.sampled_from([10, 1_500, 9_000]))
+    @stateful.rule(delta_ms=st.sampled_from([10, 300, 2_000, 9_000]))
     def wait(self, delta_ms):
         self.clock.advance(delta_ms)
         self.go_on()
