--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -317,18 +317,6 @@
     assert bodies == [whole] * 3
 
 
-async def test_stream_that_may_not_resume_never_looks_whole(
-    deployment, caller
-):
-    everyone(deployment, cut_within_event)
-    with pytest.raises(aiohttp.ClientPayloadError):
-        async with caller.post(
-            deployment.url("/chat/x"), headers=headers()
-        ) as response:
-            await response.read()
-    assert len(received(deployment, "/chat/")) == 1
-
-
 async def unframed_cut_within_event(request, writer):
     writer.write(
         b"HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\n"
@@ -339,15 +327,19 @@
     return False
 
 
-async def test_stream_without_framing_that_ends_within_an_event_is_cut(
-    deployment, caller
+@pytest.mark.parametrize(
+    "script", [cut_within_event, unframed_cut_within_event]
+)
+async def test_stream_that_may_not_resume_never_looks_whole(
+    deployment, caller, script
 ):
-    everyone(deployment, unframed_cut_within_event)
+    everyone(deployment, script)
     with pytest.raises(aiohttp.ClientPayloadError):
         async with caller.post(
             deployment.url("/chat/x"), headers=headers()
         ) as response:
             await response.read()
+    assert len(received(deployment, "/chat/")) == 1
 
 
 async def unframed_reset(request, writer):
