Store: an answer that makes no sense is no answer

Cause: a 200 or 410 whose JSON can't be read raised ValueError or KeyError past every handler of SourceError: registering ended for good, a read was logged as failed background work. Now it is a SourceError; an append may have been made.

--- a/src/bulrushdale/platform/store.py
+++ b/src/bulrushdale/platform/store.py
@@ -5,6 +5,7 @@
 from collections import abc
 import dataclasses
 import logging
+import typing
 
 import aiohttp
 import orjson
@@ -16,6 +17,8 @@
 
 LOG = logging.getLogger(__name__)
 
+_Taken = typing.TypeVar("_Taken")
+
 # The store answers within some ms; ten times its slowest usual answer.
 CALL_TIMEOUT_MS = 1_000
 
@@ -91,6 +94,35 @@
     return records
 
 
+def _newest_page(
+    fields: typing.Any,
+) -> tuple[list[records_module.KeyedRecord], int, str | None]:
+    """Return a page's records, the topic's end and the key to go on after."""
+    records = [
+        records_module.KeyedRecord(
+            item["offset"], item["key"], base64.b64decode(item["value"])
+        )
+        for item in fields["items"]
+    ]
+    last_key = records[-1].key if fields["has_more"] else None
+    return records, fields["end"], last_key
+
+
+def _decode(
+    name: str, data: bytes, take: abc.Callable[[typing.Any], _Taken]
+) -> _Taken:
+    """Return what is taken from a JSON answer.
+
+    :raises SourceError: if it isn't there; an append was made all the same.
+    """
+    try:
+        return take(orjson.loads(data))
+    except (ValueError, LookupError, TypeError) as error:
+        raise records_module.SourceError(
+            f"{name}: {error!r}", may_have_taken_effect=True
+        ) from error
+
+
 class Store:
     """Reads and appends records.
 
@@ -139,7 +171,9 @@
                 f"{name}: {error!r}", may_have_taken_effect=True
             ) from error
         if response.status == 410:
-            raise records_module.HistoryGoneError(orjson.loads(data)["first"])
+            raise records_module.HistoryGoneError(
+                _decode(name, data, lambda fields: int(fields["first"]))
+            )
         if response.status != 200:
             raise records_module.SourceError(
                 f"{name} answered {response.status}",
@@ -170,6 +204,8 @@
         if most_kb is not None:
             query["max_kb"] = str(most_kb)
         data = await self._call("GET", "log-read", query, wait_ms=wait_ms)
+        if len(data) < 2 * _OFFSET_BYTES:
+            raise records_module.SourceError("log-read: answer too short")
         return Contents(
             first=int.from_bytes(data[_OFFSET_BYTES : 2 * _OFFSET_BYTES]),
             end=int.from_bytes(data[:_OFFSET_BYTES]),
@@ -206,21 +242,17 @@
         query = {"topic": topic, "part": "0"}
         end = None
         while True:
-            data = orjson.loads(await self._call("GET", "log-newest", query))
+            data = await self._call("GET", "log-newest", query)
+            found, page_end, last_key = _decode(
+                "log-newest", data, _newest_page
+            )
             # Pages are not a snapshot: what changed since the first one is
             # read again from its end on.
-            end = data["end"] if end is None else end
-            records += [
-                records_module.KeyedRecord(
-                    item["offset"],
-                    item["key"],
-                    base64.b64decode(item["value"]),
-                )
-                for item in data["items"]
-            ]
-            if not data["has_more"]:
+            end = page_end if end is None else end
+            records += found
+            if last_key is None:
                 return records_module.Page(records, end, True, True)
-            query["after"] = data["items"][-1]["key"]
+            query["after"] = last_key
 
     def reader(
         self, topic: str, wait_ms: int, clock: clock_module.Clock
@@ -255,7 +287,7 @@
         """
         query = {"topic": topic, "part": "0"}
         data = await self._call("POST", "log-append", query, _framed(content))
-        return int(orjson.loads(data)["offset"])
+        return _decode("log-append", data, lambda fields: fields["offset"])
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a record to a keyed topic.
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -110,6 +110,32 @@
     assert log.failing_since_ms is None
 
 
+@pytest.mark.parametrize("body", [b"not JSON", b"[]", b"{}"])
+@pytest.mark.parametrize("status", [200, 410])
+async def test_answer_that_makes_no_sense_is_no_answer(body, status):
+    async def answer(_):
+        return web.Response(status=status, body=body)
+
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", answer)
+    runner = web.AppRunner(app, shutdown_timeout=0.1)
+    await runner.setup()
+    (port,) = ports.free_ports(1)
+    await web.TCPSite(runner, ports.HOST, port).start()
+    try:
+        async with aiohttp.ClientSession() as session:
+            store = store_module.Store(session, f"http://{ports.HOST}:{port}")
+            with pytest.raises(records.SourceError) as appended:
+                await store.append("orders", b"{}")
+            assert appended.value.may_have_taken_effect
+            with pytest.raises(records.SourceError):
+                await store.read("keyed.op", 0)
+            with pytest.raises(records.SourceError):
+                await store.newest("keyed.op")
+    finally:
+        await runner.cleanup()
+
+
 async def test_record_of_another_writer_is_passed_over(kept):
     standin, log = kept
     await standin.put("orders", "", b"not a record")
