--- a/src/bulrushdale/web/calls.py
+++ b/src/bulrushdale/web/calls.py
@@ -15,7 +15,8 @@
 
 
 CONNECT_TIMEOUT_MS = 1_000
-# So long a call may be under way to its target, some times a busy VM's delay.
+# An assumption: so long a call may be under way to its target; on a VM that
+# isn't busy it takes some ms.
 BEGIN_MS = 40
 NOT_CONNECTED = (
     aiohttp.ClientConnectorError,
