Targets that leave or want a pause say so in answers; endless bytes end

Cause: neither word was read. A target that said only in its answers that it leaves kept getting requests until the list told; one that asked for a pause got the next request at once. Whole answers, stray ones, the store's and peers' were read without a bound; a stalled stream lived as long as a byte came now and then; garbage behind a complete answer took the answer with it; an order answered 503 by its target without the statement that it did not run was passed on as a promise.

Change: both words are decoded in platform/headers. Leaving is remembered by id and start and never taken back, told to the other routers with the load reports. Answers above 1 MB are passed on as they arrive, up to 64 MB; events are bounded and only whole events count as progress.

--- a/src/bulrushdale/forwarding/attempt.py
+++ b/src/bulrushdale/forwarding/attempt.py
@@ -20,11 +20,13 @@
     :param reason: why, for logs.
     :param sent: whether the request reached the target.
     :param moved: whether another target has the address.
+    :param head: what it answered; none if it didn't.
     """
 
     reason: str
     sent: bool
     moved: bool = False
+    head: calls.AnswerHead | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,6 +51,19 @@
     response: aiohttp.ClientResponse
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Oversized:
+    """An answer that is too large to hold; the rest is still to be read.
+
+    :param begun: what was read of its body.
+    """
+
+    begun: bytes
+
+
+# A larger answer is passed on as it arrives, and can't be asked for at
+# another target any more if it breaks off; usual ones have some KB.
+MAX_HELD_BYTES = 1 << 20
 # Characters of an error's text in logs and refusals.
 MAX_ERROR_TEXT = 120
 # Raises TimeoutError when the wait is over.
@@ -103,6 +118,13 @@
     return fault
 
 
+def close_after(opened: Opened) -> None:
+    """Don't use an answer's connection again."""
+    connection = opened.response.connection
+    if connection is not None and connection.protocol is not None:
+        connection.protocol.force_close()
+
+
 def describe(error: BaseException) -> str:
     """Return an error as a short text without the request's headers."""
     if isinstance(error, aiohttp.ClientResponseError):
@@ -119,9 +141,11 @@
     if head.request_id and head.request_id != call.request_id:
         return Unknown("the answer is to another request")
     if head.other_target:
-        return NotRun("another target has the address", sent=True, moved=True)
+        return NotRun(
+            "another target has the address", sent=True, moved=True, head=head
+        )
     if head.not_run:
-        return NotRun(f"rejected with {head.status}", sent=True)
+        return NotRun(f"rejected with {head.status}", sent=True, head=head)
     if head.success and not head.sealed:
         return Unknown("the answer has no signature")
     if head.encoded:
@@ -129,19 +153,27 @@
     return None
 
 
-async def read_whole(opened: Opened, wait: Wait) -> bytes | Unknown:
-    """Read the body of an answer to its end.
+async def read_whole(
+    opened: Opened, wait: Wait
+) -> bytes | Oversized | Unknown:
+    """Read the body of an answer to its end, or until it is too large.
 
     :param opened: the answer.
     :param wait: limits how long that may take.
     """
+    body = bytearray()
     try:
         async with wait:
-            return await opened.response.read()
+            async for data in opened.response.content.iter_any():
+                body += data
+                if len(body) > MAX_HELD_BYTES:
+                    return Oversized(bytes(body))
     except TimeoutError:
-        return Unknown("body not complete in time")
+        fault = "body not complete in time"
     except _LOST as error:
-        return Unknown(f"body cut short: {describe(error)}")
-    finally:
-        # Gives a connection back only if the body was read to its end.
-        opened.response.close()
+        fault = f"body cut short: {describe(error)}"
+    else:
+        opened.response.release()
+        return bytes(body)
+    opened.response.close()
+    return Unknown(fault)
--- a/src/bulrushdale/forwarding/connections.py
+++ b/src/bulrushdale/forwarding/connections.py
@@ -29,6 +29,10 @@
 ONCE_IDLE_LIMIT_MS = 500
 # Linger for no time: unsent data is dropped and the peer gets a reset.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_HEAD_END = b"\r\n\r\n"
+# Most of an answer to another request that is read to get to the next one;
+# above that a new connection costs less than the rest.
+MAX_STRAY_BYTES = 1 << 20
 # Routes with long prompts name their parts in one header.
 FIELD_BYTES = 65_536
 
@@ -64,6 +68,21 @@
     expected_id: str | None = None
     unanswered = False
 
+    def data_received(self, data: bytes) -> None:
+        """Parse an answer's head before what follows it.
+
+        The parser gives nothing back of a read in which it finds an error,
+        so bytes that are no answer would take the one before with them.
+        """
+        end = data.find(_HEAD_END) if self.unanswered else -1
+        if end < 0:
+            super().data_received(data)
+            return
+        end += len(_HEAD_END)
+        super().data_received(data[:end])
+        if len(data) > end:
+            super().data_received(data[end:])
+
     async def read(self) -> tuple[typing.Any, typing.Any]:
         """Return the next answer that isn't to another request.
 
@@ -86,7 +105,18 @@
                     "status": message.code,
                 },
             )
-            await payload.read()
+            await self._skip(payload)
+
+    async def _skip(self, payload: aiohttp.StreamReader) -> None:
+        """Read a body that nobody waits for, unless it has no end."""
+        size_bytes = 0
+        while not payload.at_eof():
+            size_bytes += len(await payload.readany())
+            if size_bytes > MAX_STRAY_BYTES:
+                self.close()
+                raise aiohttp.ClientPayloadError(
+                    f"a stray answer has over {MAX_STRAY_BYTES} bytes"
+                )
 
     def close(self) -> None:
         """Close the connection, and drop a request that is still unanswered.
@@ -118,6 +148,26 @@
         super().connection_lost(exc)
 
 
+async def read_bounded(
+    response: aiohttp.ClientResponse, most_bytes: int
+) -> bytes:
+    """Return an answer's body.
+
+    :param response: the answer.
+    :param most_bytes: the largest body that is read.
+    :raises ClientPayloadError: if it is larger; its connection is closed.
+    """
+    body = bytearray()
+    async for data in response.content.iter_any():
+        body += data
+        if len(body) > most_bytes:
+            response.close()
+            raise aiohttp.ClientPayloadError(
+                f"the body has over {most_bytes} bytes"
+            )
+    return bytes(body)
+
+
 def answer_class(id_header: str) -> type[aiohttp.ClientResponse]:
     """Return a response class that waits for the answer to its request.
 
--- a/src/bulrushdale/forwarding/events.py
+++ b/src/bulrushdale/forwarding/events.py
@@ -5,6 +5,11 @@
 
 _ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
 _END = re.compile(rb"\r?\n\r?\n")
+_COMMENT = re.compile(rb"(:[^\n]*\n|\r?\n)*")
+
+# An event holds some tokens, a few hundred bytes; thousands of times that is
+# a stream that is none.
+MAX_EVENT_BYTES = 1 << 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -12,11 +17,13 @@
     """Whole events, ready to be passed on.
 
     :param data: their bytes, unchanged.
+    :param count: how many they are, comments left out.
     :param fault: why the event behind them can't be passed on; none if
         nothing is wrong so far.
     """
 
     data: bytes
+    count: int
     fault: str | None
 
 
@@ -50,15 +57,19 @@
         :param data: the next bytes.
         """
         self._rest += data
-        taken = 0
+        taken = count = 0
         fault = None
         for end in _END.finditer(self._rest):
-            fault = self._follow(self._rest[taken : end.end()])
+            event = self._rest[taken : end.end()]
+            fault = self._follow(event)
             if fault is not None:
                 break
+            count += _COMMENT.fullmatch(event) is None
             taken = end.end()
         whole, self._rest = self._rest[:taken], self._rest[taken:]
-        return Events(whole, fault)
+        if fault is None and len(self._rest) > MAX_EVENT_BYTES:
+            fault = f"an event of over {MAX_EVENT_BYTES} bytes"
+        return Events(whole, count, fault)
 
     def _follow(self, event: bytes) -> str | None:
         """Move to the next event; return why it isn't the next one."""
--- a/src/bulrushdale/forwarding/gauges.py
+++ b/src/bulrushdale/forwarding/gauges.py
@@ -10,7 +10,7 @@
 from bulrushdale.routing import selection as selection_module
 from bulrushdale.routing import targets as targets_module
 
-TARGET_STATES = ("good", "leaving", "unreachable", "ejected")
+TARGET_STATES = ("good", "leaving", "resting", "unreachable", "ejected")
 
 
 def add(
--- a/src/bulrushdale/forwarding/links.py
+++ b/src/bulrushdale/forwarding/links.py
@@ -22,7 +22,6 @@
 from bulrushdale.forwarding import feed as feed_module
 from bulrushdale import records
 from bulrushdale.routing import health
-from bulrushdale.routing import overrides as overrides_module
 from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import reports
 
@@ -34,6 +33,9 @@
 # A read from the collector returns with new records, or after this.
 READER_WAIT_MS = 700
 MAX_WAIT_MS = 5_000
+# A peer's answer: a configuration of 4 MB, the most that operators may
+# publish, and the list of some thousand targets.
+MAX_READ_BYTES = 16 << 20
 
 
 def encode_report(report: reports.Report) -> bytes:
@@ -62,6 +64,7 @@
             list(report.places.items()),
             report.link_mbps,
             report.partial,
+            list(report.leaving),
         ]
     )
 
@@ -77,7 +80,7 @@
     """
     try:
         fields = orjson.loads(zlib.decompress(data))
-        parts, members, places, link_mbps, partial = fields[7:]
+        parts, members, places, link_mbps, partial, leaving = fields[7:]
         targets = {
             target_id: reports.TargetReport(
                 in_flight, health.Results(done, failed)
@@ -100,6 +103,9 @@
             places=dict(places),
             link_mbps=link_mbps,
             partial=partial,
+            leaving=tuple(
+                (target_id, int(born_ms)) for target_id, born_ms in leaving
+            ),
         )
     except (TypeError, AttributeError, KeyError, zlib.error) as error:
         raise ValueError(repr(error)) from error
@@ -123,7 +129,7 @@
 
     :param address: this router's IP and port for links.
     :param peers: what other routers report.
-    :param overrides: prefixes that live elsewhere than hashing puts them.
+    :param learn: takes over what a new report tells besides load.
     :param feeds: by name, what peers may read here.
     :param session: the HTTP session to other routers.
     :param clock: the clock.
@@ -132,7 +138,7 @@
     __slots__ = (
         "_address",
         "_peers",
-        "_overrides",
+        "_learn",
         "_feeds",
         "_session",
         "_clock",
@@ -145,14 +151,14 @@
         self,
         address: str,
         peers: peers_module.Peers,
-        overrides: overrides_module.Overrides,
+        learn: abc.Callable[[reports.Report], None],
         feeds: abc.Mapping[str, feed_module.Feed],
         session: aiohttp.ClientSession,
         clock: clock_module.Clock,
     ) -> None:
         self._address = address
         self._peers = peers
-        self._overrides = overrides
+        self._learn = learn
         self._feeds = feeds
         self._session = session
         self._clock = clock
@@ -184,7 +190,7 @@
         try:
             report = decode_report(data)
             if self._peers.take(report):
-                self._overrides.learn(report.places)
+                self._learn(report)
         except ValueError as error:
             LOG.warning(
                 "report skipped",
@@ -312,7 +318,9 @@
             ) as response:
                 if response.status != 200:
                     return None
-                data = orjson.loads(await response.read())
+                data = orjson.loads(
+                    await connections.read_bounded(response, MAX_READ_BYTES)
+                )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             LOG.info(
                 "peer gave no records",
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -20,6 +20,8 @@
 
 # Targets that a request is offered to, those included that did not run it.
 MAX_OFFERS = 4
+# The largest answer that is passed on; none of the users' comes near it.
+MAX_ANSWER_BYTES = 64 << 20
 # Where a caller names no deadline the route's timeout is the only one.
 NO_DEADLINE_MS = 3_600_000
 
@@ -173,7 +175,12 @@
             )
         if self._left_ms() < timeouts.MIN_LEFT_MS:
             return refusals.refuse(results.Code.DEADLINE_PASSED, detail)
-        return refusals.refuse(results.Code.NO_TARGET, detail)
+        rest_ms = self._parts.selection.rest_left_ms(self._service)
+        return refusals.refuse(
+            results.Code.NO_TARGET,
+            detail,
+            max(rest_ms, refusals.RETURN_AFTER_MS),
+        )
 
     def _may_run_again(self) -> bool:
         return self._route.repeatable and self._runs < self._route.max_attempts
@@ -212,6 +219,7 @@
         left_ms = self._left_ms()
         self._runs += 1
         self._sent_ms = self._parts.clock.now_ms()
+        target.note_sent()
         self._slot_free = self._parts.selection.has_free_slot(target)
         outcome = await attempt.open_answer(
             self._session(),
@@ -230,6 +238,9 @@
             self._note_failed(target, outcome.reason)
             return None
         self._offers += 1
+        self._note_head(target, outcome.head)
+        if target.leaving:
+            attempt.close_after(outcome)
         if self._route.kind is routes.Kind.STREAM and outcome.head.success:
             return await self._relay_stream(target, outcome)
         return await self._relay_whole(target, outcome)
@@ -281,7 +292,25 @@
         else:
             self._parts.prober.note_unreachable(target)
         if outcome.moved:
-            target.leaving = True
+            self._parts.targets.note_moved(target)
+        if outcome.head is not None:
+            self._note_head(target, outcome.head)
+
+    def _note_head(
+        self, target: targets_module.Target, head: calls.AnswerHead
+    ) -> None:
+        """Take over what an answer says of its target."""
+        if head.leaving:
+            self._parts.targets.note_leaving(target, "says so in an answer")
+        if head.rest_ms is not None:
+            target.rest(head.rest_ms)
+            self._account.log(
+                "target.resting",
+                target=target.target_id,
+                asked_ms=head.rest_ms,
+            )
+        elif not head.not_run:
+            target.note_accepted()
 
     def _note_failed(self, target: targets_module.Target, reason: str) -> None:
         """Log that a target failed the request.
@@ -299,18 +328,27 @@
     async def _relay_whole(
         self, target: targets_module.Target, opened: attempt.Opened
     ) -> web.StreamResponse | None:
+        head = opened.head
+        failed = head.status >= 500
         body = await attempt.read_whole(opened, self._wait(target))
+        if isinstance(body, attempt.Oversized):
+            if not failed and self._response is None:
+                return await self._relay_large(target, opened, body.begun)
+            opened.response.close()
+            body = attempt.Unknown("a failure's body is too large")
         if isinstance(body, attempt.Unknown):
             self._note_failed(target, body.reason)
             return None
-        head = opened.head
-        failed = head.status >= 500
         if failed and (self._response is not None or self._may_leave()):
             self._note_failed(target, f"answered {head.status}")
             return None
         if self._response is not None:
             raise self._end(f"can't be resumed: {head.status}")
         target.health.note(failed)
+        if head.promises_not_run:
+            raise self._end(
+                f"answered {head.status} without saying that it did not run"
+            )
         if head.success and self._slot_free:
             took_ms = self._parts.clock.now_ms() - self._sent_ms
             self._parts.selection.note_work(self._service, took_ms)
@@ -322,6 +360,35 @@
             headers=multidict.CIMultiDict(head.headers),
         )
 
+    async def _relay_large(
+        self,
+        target: targets_module.Target,
+        opened: attempt.Opened,
+        begun: bytes,
+    ) -> web.StreamResponse:
+        """Pass on an answer that is too large to hold, as it arrives."""
+        size_bytes = len(begun)
+        try:
+            async with self._wait(target):
+                response = await self._begun(opened.head)
+                await response.write(begun)
+                async for data in opened.response.content.iter_any():
+                    size_bytes += len(data)
+                    if size_bytes > MAX_ANSWER_BYTES:
+                        raise self._end("the answer is too large")
+                    await response.write(data)
+                await response.write_eof()
+        except (TimeoutError, aiohttp.ClientError) as error:
+            target.health.note(failed=True)
+            raise self._end(
+                f"large answer cut: {attempt.describe(error)}"
+            ) from error
+        finally:
+            opened.response.close()
+        target.health.note(failed=False)
+        self._account.answered(target.target_id, opened.head.status)
+        return response
+
     async def _relay_stream(
         self, target: targets_module.Target, opened: attempt.Opened
     ) -> web.StreamResponse | None:
@@ -347,11 +414,16 @@
         :return: why the stream broke off; none if it came to its end.
         """
         content = opened.response.content
+        clock = self._parts.clock
+        # Bytes that complete no event, and comments, don't count: a stalled
+        # target may send one now and then.
+        event_ms = clock.now_ms()
         while True:
+            patience_ms = timeouts.patience_for_event_ms(
+                self._route, clock.now_ms() - event_ms
+            )
             try:
-                async with self._wait(
-                    target, timeouts.patience_for_event_ms(self._route)
-                ):
+                async with self._wait(target, patience_ms):
                     data = await content.readany()
             except TimeoutError:
                 return "no event in time"
@@ -361,6 +433,8 @@
             if found.data:
                 response = await self._begun(opened.head)
                 await response.write(found.data)
+            if found.count:
+                event_ms = clock.now_ms()
             if found.fault is not None:
                 return found.fault
             if not data and content.at_eof():
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -172,7 +172,7 @@
         self._links = links_module.Links(
             self._address,
             self._peers,
-            self._overrides,
+            self._learn,
             self._feeds,
             own_session,
             clock,
@@ -221,6 +221,11 @@
             self._parts.budget,
         )
 
+    def _learn(self, report: reports.Report) -> None:
+        """Take over what another router tells besides its load."""
+        self._overrides.learn(report.places)
+        self._targets.learn_leaving(report.leaving)
+
     def _count_read(self, feed: str, outcome: str) -> None:
         self._metrics.store_reads.add(1, {"feed": feed, "outcome": outcome})
 
@@ -299,6 +304,7 @@
                 members=self._peers.members(),
                 places=self._overrides.take_updates(),
                 link_mbps=self.settings.link_mbps,
+                leaving=self._targets.told_leaving(),
             )
         )
 
--- a/src/bulrushdale/platform/headers.py
+++ b/src/bulrushdale/platform/headers.py
@@ -4,12 +4,16 @@
 """
 
 from collections import abc
+import logging
+import math
 
 from aiohttp import web
 import multidict
 
 from bulrushdale.routing import calls
 
+LOG = logging.getLogger(__name__)
+
 REQUEST_ID = "X-Request-Id"
 _DEADLINE = "X-Deadline-Ms"
 _PROMPT = "X-Prompt-Prefix"
@@ -25,8 +29,14 @@
 _NOT_RUN = "X-Not-Executed"
 # The target that has the prompt in its cache copies it to the one that asks.
 _COPY_FROM = "Kv-Fetch"
+# The target is about to stop, in each of its answers from then on.
+_LEAVING = "Server-Leaving"
+_LEAVING_VALUE = "1"
+# In a 503, for how many seconds the target wants no requests.
+_REST = "Retry-After"
 
 _STATUS_OTHER_TARGET = 421
+_STATUS_OVERLOADED = 503
 
 # Headers of one connection only, besides those that Connection names.
 _HOP_BY_HOP = frozenset(
@@ -201,4 +211,26 @@
         not_run=_NOT_RUN in headers,
         other_target=status == _STATUS_OTHER_TARGET,
         encoded=encoding != "identity",
+        leaving=(
+            headers.get(_LEAVING, "").strip() == _LEAVING_VALUE
+            and status != _STATUS_OTHER_TARGET
+        ),
+        rest_ms=_rest_ms(status, headers.get(_REST)),
     )
+
+
+def _rest_ms(status: int, value: str | None) -> int | None:
+    """Return the pause that an overloaded target asks for, in ms."""
+    if status != _STATUS_OVERLOADED or value is None:
+        return None
+    try:
+        rest_s = float(value)
+    except ValueError:
+        rest_s = math.nan
+    if not math.isfinite(rest_s) or rest_s < 0:
+        LOG.warning(
+            "pause not understood",
+            extra={"event": "target.bad_rest", "value": value[:80]},
+        )
+        return None
+    return int(rest_s * 1000)
--- a/src/bulrushdale/platform/store.py
+++ b/src/bulrushdale/platform/store.py
@@ -22,6 +22,9 @@
 # The store answers within some ms; ten times its slowest usual answer.
 CALL_TIMEOUT_MS = 1_000
 
+# The store gives about 1 MB at once, and one record more of at most 4 MB.
+MAX_ANSWER_BYTES = 16 << 20
+
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
 TARGETS_TOPIC = "keyed.servers"
@@ -163,7 +166,9 @@
                 data=body,
                 timeout=timeout,
             ) as response:
-                data = await response.read()
+                data = await connections.read_bounded(
+                    response, MAX_ANSWER_BYTES
+                )
         except aiohttp.ClientConnectorError as error:
             raise records_module.SourceError(f"{name}: {error!r}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
--- a/src/bulrushdale/routing/calls.py
+++ b/src/bulrushdale/routing/calls.py
@@ -4,6 +4,10 @@
 import dataclasses
 
 
+# Callers repeat whatever gets one of these, as it has not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromptPart:
     """A part of a prompt that requests may share.
@@ -75,6 +79,9 @@
     :param other_target: whether another target has the address now.
     :param encoded: whether the body has a content encoding that nobody
         asked for, so that it isn't the target's.
+    :param leaving: whether the target says that it is about to stop.
+    :param rest_ms: for how long the target wants no requests, in ms; none
+        if it doesn't say.
     """
 
     status: int
@@ -84,6 +91,13 @@
     not_run: bool
     other_target: bool
     encoded: bool
+    leaving: bool = False
+    rest_ms: int | None = None
+
+    @property
+    def promises_not_run(self) -> bool:
+        """Whether callers take the status for a promise that isn't given."""
+        return self.status in NOT_RUN_STATUSES and not self.not_run
 
     @property
     def success(self) -> bool:
--- a/src/bulrushdale/routing/reports.py
+++ b/src/bulrushdale/routing/reports.py
@@ -63,6 +63,8 @@
     :param places: prefixes that live elsewhere than hashing puts them.
     :param link_mbps: what the sender's link carries, in Mbit/s.
     :param partial: whether targets left out are as the sender told before.
+    :param leaving: targets that said in an answer that they leave, and when
+        they started.
     """
 
     address: str
@@ -77,6 +79,7 @@
     places: abc.Mapping[int, str]
     link_mbps: int = 0
     partial: bool = False
+    leaving: abc.Sequence[tuple[str, int]] = ()
 
 
 def complete(report: Report, before: Report | None) -> Report:
@@ -103,7 +106,9 @@
     places = dict(own.places)
     routers, store_up_ms = own.routers, own.store_up_ms
     parts = [own.targets]
+    leaving = set(own.leaving)
     for report in others:
+        leaving.update(report.leaving)
         routers += report.routers
         store_up_ms = max(store_up_ms, report.store_up_ms)
         places.update(report.places)
@@ -115,6 +120,7 @@
         store_up_ms=store_up_ms,
         targets=_add_up(parts),
         places=places,
+        leaving=tuple(sorted(leaving)),
     )
 
 
--- a/src/bulrushdale/routing/selection.py
+++ b/src/bulrushdale/routing/selection.py
@@ -105,7 +105,9 @@
         if not staying:
             return None
         loads = {t.target_id: self.load(t) for t in staying}
-        untried = [t for t in staying if t.target_id not in tried]
+        untried = [
+            t for t in staying if t.target_id not in tried and not t.resting
+        ]
         fit = self._fit(untried) or (untried if unreachable_too else [])
         if not fit:
             return None
@@ -130,10 +132,23 @@
     def has_other(self, service: str, tried: abc.Collection[str]) -> bool:
         """Return whether there is a target that wasn't tried yet."""
         return any(
-            t.target_id not in tried and not t.health.unreachable
+            t.target_id not in tried
+            and not t.health.unreachable
+            and not t.resting
             for t in self._targets.staying(service)
         )
 
+    def rest_left_ms(self, service: str) -> int:
+        """Return when the first target of a service ends its pause, in ms.
+
+        0 unless all of them asked for one.
+        """
+        staying = self._targets.staying(service)
+        now_ms = self._clock.now_ms()
+        return min(
+            (max(0, t.rest_until_ms - now_ms) for t in staying), default=0
+        )
+
     def demand(self, service: str) -> overload.Demand:
         """Return how busy the targets are that may get work."""
         fit = self._fit(self._targets.staying(service))
@@ -207,7 +222,9 @@
         self, staying: list[targets_module.Target]
     ) -> list[targets_module.Target]:
         """Return reachable targets, those not set aside first."""
-        reachable = [t for t in staying if not t.health.unreachable]
+        reachable = [
+            t for t in staying if not t.health.unreachable and not t.resting
+        ]
         well = [t for t in reachable if not t.health.ejected]
         return well or reachable
 
--- a/src/bulrushdale/routing/targets.py
+++ b/src/bulrushdale/routing/targets.py
@@ -7,6 +7,7 @@
 from bulrushdale import clock as clock_module
 from bulrushdale.routing import health as health_module
 from bulrushdale.routing import reports as reports_module
+from bulrushdale.routing import rest
 
 LOG = logging.getLogger(__name__)
 
@@ -57,31 +58,43 @@
     :param clock: the clock.
 
     :ivar leaving: whether it gets no new work; never taken back.
+    :ivar moved: whether another target has its address.
     :ivar lapsed: whether its entry is missing, perhaps by the store's fault.
     :ivar in_flight: requests that this router has there.
     :ivar health: results of its requests.
     :ivar slow_until_ms: when it is up to speed after its start.
     :ivar listed_ms: when this router first saw it in the list.
+    :ivar rest_until_ms: until when it asked to get nothing.
     """
 
     __slots__ = (
         "listing",
         "leaving",
+        "moved",
         "lapsed",
         "in_flight",
         "health",
         "slow_until_ms",
         "listed_ms",
+        "rest_until_ms",
+        "_on_trial",
+        "_next_trial_ms",
+        "_clock",
     )
 
     def __init__(self, listing: Listing, clock: clock_module.Clock) -> None:
         self.listing = listing
         self.leaving = listing.leaving
+        self.moved = False
         self.lapsed = False
         self.in_flight = 0
         self.health = health_module.Health(clock)
         self.slow_until_ms = clock.now_ms() + listing.slow_start_ms
         self.listed_ms = clock.now_ms()
+        self.rest_until_ms = 0
+        self._on_trial = False
+        self._next_trial_ms = 0
+        self._clock = clock
 
     @property
     def target_id(self) -> str:
@@ -96,10 +109,42 @@
         """One word for whether it gets work, and why not."""
         if self.leaving:
             return "leaving"
+        if self.resting:
+            return "resting"
         if self.health.unreachable:
             return "unreachable"
         return "ejected" if self.health.ejected else "good"
 
+    @property
+    def resting(self) -> bool:
+        """Whether it gets nothing for now, as it asked for a pause."""
+        now_ms = self._clock.now_ms()
+        if now_ms < self.rest_until_ms:
+            return True
+        return self._on_trial and now_ms < self._next_trial_ms
+
+    def rest(self, asked_ms: int) -> None:
+        """Send nothing for the time that the target asked for.
+
+        A shorter pause that it asks for later takes nothing back.
+
+        :param asked_ms: that time, in ms.
+        """
+        until_ms = self._clock.now_ms() + rest.length_ms(asked_ms)
+        self.rest_until_ms = max(self.rest_until_ms, until_ms)
+        self._on_trial = True
+
+    def note_sent(self) -> None:
+        """Count a request that is sent to it, if it is on trial."""
+        if self._on_trial:
+            now_ms = self._clock.now_ms()
+            self._next_trial_ms = now_ms + rest.TRIAL_INTERVAL_MS
+
+    def note_accepted(self) -> None:
+        """End its trial: it has taken a request."""
+        if self._clock.now_ms() >= self.rest_until_ms:
+            self._on_trial = False
+
 
 class Targets:
     """The targets that a router may use.
@@ -159,6 +204,53 @@
         by_id[listing.target_id] = target
         self._log("target.listed", target, listing.address)
 
+    def note_leaving(self, target: Target, reason: str) -> None:
+        """Give a target no new work from now on.
+
+        Whatever the list says of this start: a heartbeat may have been on
+        its way, and an entry may lapse and come back.
+
+        :param target: the target.
+        :param reason: who said so, for logs.
+        """
+        start = (target.target_id, target.listing.born_ms)
+        self._left_ms[start] = self._clock.now_ms()
+        if not target.leaving:
+            self._leave(target)
+            self._log("target.leaving", target, reason)
+
+    def note_moved(self, target: Target) -> None:
+        """Note that another target has the address of this one."""
+        target.moved = True
+        self.note_leaving(target, "another target has its address")
+
+    def learn_leaving(self, starts: abc.Iterable[tuple[str, int]]) -> None:
+        """Take over which targets other routers know to leave.
+
+        :param starts: their ids, and when they started.
+        """
+        for target_id, born_ms in starts:
+            known = self._targets.get(target_id)
+            if known is None or known.listing.born_ms != born_ms:
+                self._left_ms.setdefault(
+                    (target_id, born_ms), self._clock.now_ms()
+                )
+            elif not known.leaving:
+                self.note_leaving(known, "another router says so")
+
+    def told_leaving(self) -> tuple[tuple[str, int], ...]:
+        """Return the targets that said in an answer that they leave.
+
+        Only those that the list doesn't call so yet: it tells all routers.
+        """
+        return tuple(
+            (target.target_id, target.listing.born_ms)
+            for target in self.all()
+            if target.leaving
+            and not target.moved
+            and not target.listing.leaving
+        )
+
     def _drop(self, target: Target, reason: str) -> None:
         if not target.leaving:
             self._leave(target)
@@ -279,10 +371,9 @@
         """
         present = self._by_service.get(service, {}).get(target_id)
         if present is not None:
-            moved = present.leaving and not present.listing.leaving
-            return None if moved else present
+            return None if present.moved else present
         left_ms, target = self._gone.get(service, {}).get(target_id, (0, None))
-        if target is None or target.listing.leaving:
+        if target is None or target.moved or target.listing.leaving:
             return None
         recent = self._clock.now_ms() - left_ms < self._drain_ms
         return target if recent else None
--- a/src/bulrushdale/routing/timeouts.py
+++ b/src/bulrushdale/routing/timeouts.py
@@ -34,12 +34,16 @@
     return max(MIN_MS, route.target_time_ms * TARGET_TIMES)
 
 
-def patience_for_event_ms(route: routes.Route) -> float | None:
-    """Return the time for a stream's next event, in ms; none if no other
-    target may resume it.
+def patience_for_event_ms(
+    route: routes.Route, waited_ms: int = 0
+) -> float | None:
+    """Return the time left for a stream's next event, in ms; none if no
+    other target may resume it.
 
     :param route: the request's route.
+    :param waited_ms: time since the last event, in ms.
     """
     if not route.repeatable:
         return None
-    return max(MIN_PAUSE_MS, route.max_pause_ms * PAUSES)
+    patience_ms = max(MIN_PAUSE_MS, route.max_pause_ms * PAUSES)
+    return max(0.0, patience_ms - waited_ms)
--- /dev/null
+++ b/tests/test_endless_bytes.py
@@ -0,0 +1,254 @@
+"""Bytes that are no answer and don't end, and streams that only seem to live.
+
+The targets send as fast as they are read until the router closes.
+"""
+
+import asyncio
+import time
+
+import aiohttp
+import psutil
+import pytest
+
+from bulrushdale.forwarding import attempt
+from bulrushdale.forwarding import connections
+from bulrushdale.forwarding import events
+from bulrushdale.forwarding import proxy
+from examples.standins import scripted_target
+from tests import gateway_fixtures
+
+# Far above what a router may hold of one answer, far below what an endless
+# one brings within its deadline.
+MOST_GROWTH_BYTES = 40 << 20
+BLOCK = b"x" * 65_536
+
+
+@pytest.fixture
+async def deployment():
+    """A store with a configuration, one target and a ready router."""
+    deployment = gateway_fixtures.Deployment()
+    async with deployment.stack:
+        await deployment.start_store()
+        await deployment.publish()
+        await deployment.add_target("t1")
+        await deployment.ready(await deployment.add_router())
+        yield deployment
+        for router in deployment.routers:
+            await router.stop()
+
+
+def headers(deadline_ms=1_500):
+    return {
+        "Host": "example.test",
+        "X-Request-Id": "q1",
+        "X-Deadline-Ms": str(deadline_ms),
+        "Authorization": "Bearer key-1",
+    }
+
+
+def without_end(head, block, ended):
+    """Return a script that sends a head and then a block again and again.
+
+    :param ended: an event that is set when the connection is closed.
+    """
+
+    async def script(request, writer):
+        writer.write(head(request))
+        try:
+            while True:
+                writer.write(block)
+                await writer.drain()
+                await asyncio.sleep(0)
+        except ConnectionError:
+            return False
+        finally:
+            ended.set()
+
+    return script
+
+
+def plain_head(request):
+    return (
+        "HTTP/1.1 200 OK\r\n"
+        f"X-Request-Id: {request.request_id}\r\n"
+        "X-Server-Seal: seal\r\n"
+    ).encode()
+
+
+def chunked_head(request):
+    return plain_head(request) + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+def unframed_head(request):
+    return plain_head(request) + b"Connection: close\r\n\r\n"
+
+
+def stray_head(request):
+    head = scripted_target.stream_head(request)
+    return head.replace(request.request_id.encode(), b"another")
+
+
+def whole_answer(request):
+    if "/order/" in request.line:
+        return scripted_target.answer(request)
+    event = scripted_target.event(0)
+    body = scripted_target.chunk(event) + scripted_target.chunk(b"")
+    return scripted_target.stream_head(request) + body
+
+
+ENDLESS = {
+    "no_head": (lambda _: b"", BLOCK),
+    "status_line": (lambda _: b"HTTP/1.1 200 ", BLOCK),
+    "header_fields": (plain_head, b"X-More: 1\r\n" * 5_000),
+    "one_header_field": (lambda r: plain_head(r) + b"X-More: ", BLOCK),
+    "body_without_length": (unframed_head, BLOCK),
+    "body_in_chunks": (chunked_head, scripted_target.chunk(BLOCK)),
+    "chunk_extension": (lambda r: chunked_head(r) + b"5;a=", BLOCK),
+    "trailers": (
+        lambda r: chunked_head(r) + b"0\r\n",
+        b"X-More: 1\r\n" * 5_000,
+    ),
+    "behind_an_answer": (whole_answer, BLOCK),
+    "stray_answer": (stray_head, scripted_target.chunk(BLOCK)),
+    "event": (scripted_target.stream_head, scripted_target.chunk(BLOCK)),
+}
+
+
+@pytest.mark.parametrize("path", ["/order/x", "/plan/x", "/chat/x"])
+@pytest.mark.parametrize("name", ENDLESS)
+async def test_endless_bytes_end_with_the_request(deployment, name, path):
+    """In time, without growing, and never as a whole answer."""
+    ended = asyncio.Event()
+    deployment.targets[0].script = without_end(*ENDLESS[name], ended)
+    before = psutil.Process().memory_info().rss
+    started = time.monotonic()
+    async with aiohttp.ClientSession() as caller:
+        size_bytes = 0
+        try:
+            async with caller.post(
+                deployment.url(path), headers=headers()
+            ) as response:
+                async for data in response.content.iter_any():
+                    size_bytes += len(data)
+                whole = response.status == 200
+        except aiohttp.ClientError:
+            whole = False
+    assert time.monotonic() - started < 2.5
+    assert whole == (name == "behind_an_answer")
+    grown = psutil.Process().memory_info().rss - before
+    assert grown < MOST_GROWTH_BYTES
+    assert size_bytes <= proxy.MAX_ANSWER_BYTES + len(BLOCK)
+    async with asyncio.timeout(0.5):
+        await ended.wait()
+
+
+async def test_large_answer_is_passed_on_whole(deployment):
+    body = bytes(range(256)) * (attempt.MAX_HELD_BYTES // 64)
+
+    async def script(request, writer):
+        writer.write(scripted_target.answer(request, body=body))
+
+    deployment.targets[0].script = script
+    async with (
+        aiohttp.ClientSession() as caller,
+        caller.post(deployment.url("/order/x"), headers=headers()) as response,
+    ):
+        assert response.status == 200
+        assert response.headers["X-Server-Seal"] == "seal"
+        assert await response.read() == body
+
+
+async def test_large_answer_that_breaks_off_never_looks_whole(deployment):
+    async def script(request, writer):
+        writer.write(plain_head(request) + b"Content-Length: 9000000\r\n\r\n")
+        writer.write(b"x" * (2 * attempt.MAX_HELD_BYTES))
+        await writer.drain()
+        return False
+
+    deployment.targets[0].script = script
+    with pytest.raises(aiohttp.ClientError):
+        async with (
+            aiohttp.ClientSession() as caller,
+            caller.post(
+                deployment.url("/order/x"), headers=headers()
+            ) as response,
+        ):
+            await response.read()
+
+
+def trickle(piece):
+    async def script(request, writer):
+        writer.write(scripted_target.stream_head(request))
+        writer.write(scripted_target.chunk(scripted_target.event(0)))
+        while True:
+            writer.write(scripted_target.chunk(piece))
+            await asyncio.sleep(0.1)
+
+    return script
+
+
+@pytest.mark.parametrize("piece", [b"d", b": still here\n\n", b"\n\n"])
+async def test_stalled_stream_goes_on_elsewhere(deployment, piece):
+    """Though a byte that completes no event comes now and then."""
+    stalled = trickle(piece)
+    seen = []
+
+    async def script(request, writer):
+        seen.append(request)
+        if len(seen) == 1:
+            return await stalled(request, writer)
+        return await gateway_fixtures.respond(request, writer)
+
+    await deployment.add_target("t2")
+    for target in deployment.targets:
+        target.script = script
+    await asyncio.sleep(0.8)
+    async with (
+        aiohttp.ClientSession() as caller,
+        caller.post(
+            deployment.url("/plan/x"), headers=headers(3_000)
+        ) as response,
+    ):
+        body = await response.read()
+    expected = b"".join(scripted_target.event(n) for n in range(5))
+    assert body.replace(b": still here", b"").split() == expected.split()
+
+
+async def test_slow_stream_with_its_events_is_sound(deployment):
+    async def script(request, writer):
+        writer.write(scripted_target.stream_head(request))
+        for number in range(5):
+            writer.write(scripted_target.chunk(scripted_target.event(number)))
+            await asyncio.sleep(0.5)
+        writer.write(scripted_target.chunk(b""))
+
+    deployment.targets[0].script = script
+    async with (
+        aiohttp.ClientSession() as caller,
+        caller.post(
+            deployment.url("/plan/x"), headers=headers(3_000)
+        ) as response,
+    ):
+        body = await response.read()
+    assert body == b"".join(scripted_target.event(n) for n in range(5))
+    assert len(deployment.targets[0].received) == 1
+
+
+def test_event_without_end_is_a_fault():
+    splitter = events.Splitter(None)
+    found = [splitter.feed(b"data: " + BLOCK) for _ in range(20)]
+    assert found[-1].fault is not None
+    assert sum(f.fault is None for f in found) <= (
+        events.MAX_EVENT_BYTES // len(BLOCK)
+    )
+
+
+async def test_answer_of_store_or_peer_is_bounded(deployment):
+    target = deployment.targets[0]
+    target.script = without_end(unframed_head, BLOCK, asyncio.Event())
+    async with (
+        connections.open_session() as session,
+        session.get(f"http://{target.address}/") as response,
+    ):
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await connections.read_bounded(response, 1 << 20)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -406,7 +406,7 @@
     feed.take(records.Page([record], 4, True, True), clock.boot_ms())
     peers = peers_module.Peers(OWN, "dc1", 0, clock)
     links_of_one = links.Links(
-        OWN, peers, None, {feed.name: feed}, None, clock
+        OWN, peers, lambda _: None, {feed.name: feed}, None, clock
     )
     request = test_utils.make_mocked_request("GET", "/feeds/configuration")
     for _ in range(2):
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -161,7 +161,7 @@
     home.in_flight = 60
     moved = fleet.place().target
     home.in_flight = 0
-    moved.leaving = True
+    fleet.targets.note_moved(moved)
     assert fleet.place().cache_at is None
 
 
--- a/tests/test_stream_events.py
+++ b/tests/test_stream_events.py
@@ -58,7 +58,9 @@
     assert splitter.feed(make_event(4)).fault is not None
     assert splitter.last_id == 4
     splitter.drop_rest()
-    assert splitter.feed(make_event(5)) == events.Events(make_event(5), None)
+    assert splitter.feed(make_event(5)) == events.Events(
+        make_event(5), 1, None
+    )
 
 
 def test_event_cut_short_is_not_returned():
--- /dev/null
+++ b/tests/test_target_news.py
@@ -0,0 +1,274 @@
+"""What targets tell in their answers: that they leave, or want a pause."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+import aiohttp
+import pytest
+
+from bulrushdale.forwarding import links
+from bulrushdale.platform import headers as platform_headers
+from bulrushdale.routing import reports
+from bulrushdale.routing import rest
+from bulrushdale.routing import targets as targets_module
+from examples.standins import scripted_target
+from tests import gateway_fixtures
+from tests import test_selection
+
+LISTING = test_selection.LISTING
+
+
+@pytest.fixture
+async def deployment():
+    """A store with a configuration, two targets and a ready router."""
+    deployment = gateway_fixtures.Deployment()
+    async with deployment.stack:
+        await deployment.start_store()
+        await deployment.publish()
+        await deployment.add_target("t1")
+        await deployment.add_target("t2")
+        await deployment.ready(await deployment.add_router())
+        yield deployment
+        for router in deployment.routers:
+            await router.stop()
+
+
+async def ask(deployment, number, path="/lookup/x", caller=None, method="GET"):
+    """Send a request and return its status and headers."""
+    async with contextlib.AsyncExitStack() as stack:
+        if caller is None:
+            caller = await stack.enter_async_context(aiohttp.ClientSession())
+        response = await caller.request(
+            method,
+            deployment.url(path),
+            headers={
+                "Host": "example.test",
+                "X-Request-Id": f"q{number}",
+                "X-Deadline-Ms": "3000",
+                "Authorization": "Bearer key-1",
+            },
+        )
+        await response.read()
+        return response.status, response.headers
+
+
+def extra_headers(status="200 OK", **extra):
+    async def script(request, writer):
+        writer.write(scripted_target.answer(request, status, **extra))
+
+    return script
+
+
+async def leaving_stream(request, writer):
+    head = scripted_target.stream_head(request)
+    writer.write(head.replace(b"\r\n\r\n", b"\r\nServer-Leaving: 1\r\n\r\n"))
+    for number in range(5):
+        writer.write(scripted_target.chunk(scripted_target.event(number)))
+        await asyncio.sleep(0.05)
+    writer.write(scripted_target.chunk(b""))
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        extra_headers(Server_Leaving="1"),
+        extra_headers("500 Broken", Server_Leaving="1"),
+        extra_headers("503 Full", X_Not_Executed="1", Server_Leaving="1"),
+    ],
+    ids=["success", "failure", "rejected"],
+)
+async def test_target_that_says_so_in_an_answer_leaves(deployment, script):
+    """Even while its heartbeats in the list still call it ready."""
+    leaving = deployment.targets[0]
+    leaving.script = script
+    for number in range(12):
+        await ask(deployment, number)
+    assert len(leaving.received) == 1
+    entry = gateway_fixtures.make_entry(leaving.address)
+    await deployment.store.put("keyed.servers", "t1", entry)
+    await deployment.store.put("keyed.servers", "t1", b"")
+    await deployment.store.put("keyed.servers", "t1", entry)
+    await asyncio.sleep(0.8)
+    for number in range(12, 24):
+        await ask(deployment, number)
+    assert len(leaving.received) == 1
+
+
+async def test_next_start_of_a_target_that_left_gets_work(deployment):
+    target = deployment.targets[0]
+    target.script = extra_headers(Server_Leaving="1")
+    for number in range(12):
+        await ask(deployment, number)
+    entry = gateway_fixtures.make_entry(target.address, born=2)
+    await deployment.store.put("keyed.servers", "t1", entry)
+    await asyncio.sleep(0.8)
+    target.script = gateway_fixtures.respond
+    for number in range(12, 24):
+        await ask(deployment, number)
+    assert len(target.received) > 1
+
+
+async def test_stream_of_a_target_that_leaves_runs_to_its_end(deployment):
+    for target in deployment.targets:
+        target.script = leaving_stream
+    async with (
+        aiohttp.ClientSession() as caller,
+        caller.post(
+            deployment.url("/plan/x"),
+            headers={
+                "Host": "example.test",
+                "X-Request-Id": "q1",
+                "X-Deadline-Ms": "3000",
+                "Authorization": "Bearer key-1",
+            },
+        ) as response,
+    ):
+        body = await response.read()
+    assert body == b"".join(scripted_target.event(n) for n in range(5))
+
+
+async def test_other_routers_learn_who_leaves(deployment):
+    await deployment.ready(
+        await deployment.add_router(
+            seeds=(deployment.routers[0]._address,), router="r2"
+        )
+    )
+    leaving = deployment.targets[0]
+    leaving.script = extra_headers(Server_Leaving="1")
+    number = 0
+    while not leaving.received:
+        number += 1
+        await ask(deployment, number)
+    await asyncio.sleep(0.6)
+    (known,) = [
+        t for t in deployment.routers[1]._targets.all() if t.target_id == "t1"
+    ]
+    assert known.leaving
+
+
+async def test_pause_that_a_target_asks_for_is_kept(deployment):
+    resting = deployment.targets[0]
+    resting.script = extra_headers(
+        "503 Full", X_Not_Executed="1", Retry_After="0.6"
+    )
+    for number in range(30):
+        await ask(deployment, number)
+    assert len(resting.received) == 1
+    resting.script = gateway_fixtures.respond
+    await asyncio.sleep(0.9)
+    for number in range(30, 60):
+        await ask(deployment, number)
+    assert len(resting.received) > 2
+
+
+async def test_target_gets_single_requests_after_its_pause(deployment):
+    """Until one is accepted; the backlog would send it into the next."""
+    resting = deployment.targets[0]
+    resting.script = extra_headers(
+        "503 Full", X_Not_Executed="1", Retry_After="0.2"
+    )
+    number = 0
+    while not resting.received:
+        number += 1
+        await ask(deployment, number)
+
+    async def slow(request, writer):
+        await asyncio.sleep(0.05)
+        writer.write(scripted_target.answer(request))
+
+    resting.script = slow
+    await asyncio.sleep(0.3)
+    await asyncio.gather(*(ask(deployment, 100 + n) for n in range(20)))
+    assert len(resting.received) == 2
+
+
+async def test_all_targets_pause_and_the_caller_learns_until_when(deployment):
+    for target in deployment.targets:
+        target.script = extra_headers(
+            "503 Full", X_Not_Executed="1", Retry_After="2"
+        )
+    await ask(deployment, 1, "/order/x", method="POST")
+    received = sum(len(t.received) for t in deployment.targets)
+    status, headers = await ask(deployment, 2, "/order/x", method="POST")
+    assert status == 503
+    assert 1.5 < float(headers["Retry-After"]) < 3.1
+    assert "X-Server-Seal" not in headers
+    assert sum(len(t.received) for t in deployment.targets) == received == 2
+
+
+@pytest.mark.parametrize("status", ["503 Busy", "429 Busy", "408 Late"])
+async def test_promise_that_a_target_does_not_give_is_not_passed_on(
+    deployment, status
+):
+    """Callers repeat what gets one of these; the order may have run."""
+    for target in deployment.targets:
+        target.script = extra_headers(status)
+    found, headers = await ask(deployment, 1, "/order/x", method="POST")
+    assert found == 502
+    assert "X-Server-Seal" not in headers
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "expected_ms"),
+    [
+        (503, "0.25", 250),
+        (503, "7", 7_000),
+        (503, "0", 0),
+        (503, None, None),
+        (503, "-1", None),
+        (503, "soon", None),
+        (503, "nan", None),
+        (503, "inf", None),
+        (503, "Fri, 04 Dec 2026 10:00:00 GMT", None),
+        (429, "5", None),
+        (200, "5", None),
+    ],
+)
+def test_pause_is_read_from_overload_only(status, value, expected_ms):
+    fields = {} if value is None else {"Retry-After": value}
+    head = platform_headers.decode_answer(status, fields)
+    assert head.rest_ms == expected_ms
+
+
+def test_leaving_in_anothers_answer_is_not_the_targets():
+    head = platform_headers.decode_answer(421, {"Server-Leaving": "1"})
+    assert not head.leaving
+
+
+def test_pause_is_bounded_and_spread():
+    assert rest.length_ms(10**15, lambda: 0.0) == rest.MAX_REST_MS
+    assert rest.length_ms(1_000, lambda: 0.0) == 1_000
+    assert rest.length_ms(1_000, lambda: 0.999) == 1_249
+    most = rest.length_ms(60_000, lambda: 0.999)
+    assert most < 60_000 + rest.MAX_SPREAD_MS
+
+
+def test_shorter_pause_takes_nothing_back(clock):
+    target = targets_module.Target(LISTING, clock)
+    target.rest(2_000)
+    target.rest(10)
+    clock.advance(1_999)
+    assert target.resting
+    target.note_accepted()
+    assert target.resting
+
+
+def test_what_routers_tell_of_leaving_arrives():
+    own = reports.Report(
+        "10.0.0.1:1", "dc1", 1, 1, 1, False, 0, {}, {}, {}, leaving=[("a", 5)]
+    )
+    other = dataclasses.replace(own, leaving=[("b", 6), ("a", 5)])
+    merged = reports.merge(own, [other], whole=True)
+    found = links.decode_report(links.encode_report(merged))
+    assert list(found.leaving) == [("a", 5), ("b", 6)]
+
+
+def test_leaving_told_before_the_entry_is_known(clock):
+    targets = targets_module.Targets(clock)
+    listing = dataclasses.replace(LISTING, target_id="a", born_ms=5)
+    targets.learn_leaving([("a", 5)])
+    targets.put(listing)
+    assert targets.staying(listing.service) == []
+    targets.put(dataclasses.replace(listing, born_ms=6))
+    assert [t.target_id for t in targets.staying(listing.service)] == ["a"]
