--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
 from bench import pages
 from bench import placement
 from bench import queueing
+from bench import scale
 from bench import state
 
 
@@ -23,6 +24,12 @@
     placement.run(workers)
 
 
+@main.command("scale")
+def run_scale() -> None:
+    """Measure the cost of choosing among 60 to 2,000 targets."""
+    scale.run()
+
+
 @main.command("state")
 def run_state() -> None:
     """Measure memory and load time of catalogue, claims and chats."""
--- /dev/null
+++ b/bench/scale.py
@@ -0,0 +1,130 @@
+"""Cost of choosing a target, by the size of the fleet.
+
+A router of a large fleet hears the sum of all routers' load from its
+collector, and chooses for prompts whose prefix any router may have placed.
+"""
+
+import time
+import typing
+
+from bench import report
+from bulrushdale import clock as clock_module
+from bulrushdale.routing import calls
+from bulrushdale.routing import health
+from bulrushdale.routing import overrides as overrides_module
+from bulrushdale.routing import peers as peers_module
+from bulrushdale.routing import reports
+from bulrushdale.routing import routes
+from bulrushdale.routing import selection as selection_module
+from bulrushdale.routing import targets as targets_module
+
+SIZES = (60, 300, 1_000, 2_000)
+ROUTERS = 360
+CHOICES = 300
+SERVICE = "chat"
+OWN = "10.0.0.1:1"
+COLLECTOR = "10.0.1.1:1"
+
+ROUTE = routes.Route(
+    name="chat",
+    host="chat.example",
+    path_prefix="/",
+    kind=routes.Kind.STREAM,
+    timeout_ms=10_000,
+    target_time_ms=400,
+    max_pause_ms=200,
+    priority=0,
+    shares=(routes.Share(SERVICE, 1),),
+    max_attempts=2,
+    public=True,
+    by_prefix=True,
+    resumable=True,
+)
+
+
+def _call(number: int) -> calls.Call:
+    parts = (
+        calls.PromptPart(f"prefix-{number}", 2_000),
+        calls.PromptPart("own", 100),
+    )
+    return calls.Call(
+        request_id=f"q{number}",
+        method="POST",
+        host=ROUTE.host,
+        path="/",
+        raw_target="/",
+        headers=(),
+        body=b"",
+        key="",
+        deadline_ms=None,
+        resume_after=None,
+        prompt=parts,
+        prompt_tokens=2_100,
+        output_tokens=100,
+    )
+
+
+def _listing(number: int) -> targets_module.Listing:
+    return targets_module.Listing(
+        target_id=f"i-{number:010x}",
+        born_ms=1,
+        service=SERVICE,
+        address=f"10.1.{number // 250}.{number % 250}:80",
+        data_centre="dc1",
+        slots=12,
+        leaving=False,
+        slow_start_ms=0,
+    )
+
+
+def make_selection(
+    targets: int, clock: clock_module.Clock
+) -> selection_module.Selection:
+    """Return what a router of a large fleet chooses with.
+
+    :param targets: targets of the one service.
+    :param clock: the clock.
+    """
+    known = targets_module.Targets(clock)
+    for number in range(targets):
+        known.put(_listing(number))
+    peers = peers_module.Peers(OWN, "dc1", 100, clock)
+    for number in range(ROUTERS):
+        peers.introduce(f"10.2.{number // 250}.{number % 250}:1")
+    parts = {
+        target.target_id: reports.TargetReport(
+            number % 7, health.Results(20, number % 3)
+        )
+        for number, target in enumerate(known.all())
+    }
+    peers.take(
+        reports.Report(COLLECTOR, "dc1", 1, 1, ROUTERS, True, 0, parts, {}, {})
+    )
+    return selection_module.Selection(
+        "dc1", known, peers, overrides_module.Overrides(clock), clock
+    )
+
+
+def measure(targets: int) -> float:
+    """Return the time of a choice, in us.
+
+    :param targets: targets of the service.
+    """
+    selection = make_selection(targets, clock_module.Clock())
+    chosen = [_call(number) for number in range(CHOICES)]
+    started_ns = time.perf_counter_ns()
+    for call in chosen:
+        selection.choose(call, ROUTE, SERVICE, ())
+    return (time.perf_counter_ns() - started_ns) / CHOICES / 1_000
+
+
+def run() -> None:
+    """Measure a choice at each size, each three times; the least counts."""
+    rows: list[dict[str, typing.Any]] = [
+        {
+            "targets": targets,
+            "choice_us": round(min(measure(targets) for _ in range(3))),
+        }
+        for targets in SIZES
+    ]
+    report.save("scale", rows)
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -123,7 +123,6 @@
                 response = await self._try(target, choice.cache_at)
             finally:
                 target.in_flight -= 1
-                self._parts.selection.judge(self._service)
             if response is not None:
                 return response
 
--- a/src/bulrushdale/hashing.py
+++ b/src/bulrushdale/hashing.py
@@ -28,6 +28,27 @@
     return xxhash.xxh3_64_intdigest(name.encode(), key), name
 
 
+class Ranking:
+    """Names by highest random weight for one key, hashed once.
+
+    :param key: a 64-bit hash.
+    :param names: the candidates.
+    """
+
+    __slots__ = ("_weights",)
+
+    def __init__(self, key: int, names: abc.Iterable[str]) -> None:
+        self._weights = {name: _weight(name, key) for name in names}
+
+    def winner(self, among: abc.Iterable[str]) -> str:
+        """Return the first of some of the names, at least one."""
+        return max(among, key=self._weights.__getitem__)
+
+    def order(self, among: abc.Iterable[str]) -> list[str]:
+        """Return some of the names, the preferred one first."""
+        return sorted(among, key=self._weights.__getitem__, reverse=True)
+
+
 def rendezvous(key: int, names: abc.Iterable[str]) -> list[str]:
     """Order names by highest random weight for one key.
 
--- a/src/bulrushdale/platform/settings.py
+++ b/src/bulrushdale/platform/settings.py
@@ -5,7 +5,7 @@
 import tomllib
 import typing
 
-import pydantic
+import msgspec
 
 from bulrushdale.forwarding import settings as forwarding_settings
 from bulrushdale import settings_error
@@ -23,47 +23,45 @@
 KEY_AGE_MARGIN_MS = 600
 
 
-class _Table(pydantic.BaseModel):
+class _Table(msgspec.Struct, frozen=True):
     """A table of the file; unknown fields are left alone."""
 
-    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
 
-
-class Listen(_Table):
+class Listen(_Table, frozen=True):
     front: str
     ready: str
 
 
-class Limits(_Table):
+class Limits(_Table, frozen=True):
     link_mbps: float = 0.0
 
 
-class Bounds(_Table):
-    drain_ms: int = 2_000
+class Bounds(_Table, frozen=True):
+    drain_ms: float = 2_000
     grace_s: float = 8.0
-    revoke_ms: int = 5_000
+    revoke_ms: float = 5_000
     strict_revocation: bool = True
     retry_budget_ratio: float = 0.2
     budget_window_s: float = 10.0
     budget_slack: float = 10.0
 
 
-class Platform(_Table):
+class Platform(_Table, frozen=True):
     address: str
 
 
-class _File(_Table):
+class _File(_Table, frozen=True):
     """The fields of the file that this router uses."""
 
     node_name: str
     ip: str
     zone: str
     internal_ports: tuple[int, int]
-    seeds: list[str] = []
     listen: Listen
+    platform: Platform
+    seeds: tuple[str, ...] = ()
     limits: Limits = Limits()
     bounds: Bounds = Bounds()
-    platform: Platform
 
 
 def _port(address: str) -> int:
@@ -87,11 +85,11 @@
             f"{seed.rpartition(':')[0]}:{first_port}" for seed in file.seeds
         ),
         store_address=file.platform.address,
-        target_drain_ms=bounds.drain_ms,
+        target_drain_ms=int(bounds.drain_ms),
         drain_notice_ms=DRAIN_NOTICE_MS,
         drain_timeout_ms=int(bounds.grace_s * 1000) - STOP_MARGIN_MS,
         key_age_limit_ms=(
-            bounds.revoke_ms - KEY_AGE_MARGIN_MS
+            int(bounds.revoke_ms) - KEY_AGE_MARGIN_MS
             if bounds.strict_revocation
             else None
         ),
@@ -111,15 +109,29 @@
         data: dict[str, typing.Any] = tomllib.loads(
             pathlib.Path(path).read_text(encoding="utf-8")
         )
-        return _decode(_File.model_validate(data))
-    except pydantic.ValidationError as error:
-        problems = [
-            ".".join(str(part) for part in item["loc"]) + ": " + item["msg"]
-            for item in error.errors()
-        ]
-        raise settings_error.SettingsError(path, problems) from None
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise settings_error.SettingsError(path, [str(error)]) from None
+    problems = [
+        f"{field.encode_name}: {problem}"
+        for field in msgspec.structs.fields(_File)
+        for problem in _problems(field, data)
+    ]
+    if problems:
+        raise settings_error.SettingsError(path, problems)
+    return _decode(msgspec.convert(data, _File))
+
+
+def _problems(
+    field: msgspec.structs.FieldInfo, data: dict[str, typing.Any]
+) -> list[str]:
+    """Return what is wrong with a field of the file; usually nothing."""
+    if field.encode_name not in data:
+        return ["the field is missing"] if field.required else []
+    try:
+        msgspec.convert(data[field.encode_name], field.type)
+    except msgspec.ValidationError as error:
+        return [str(error)]
+    return []
 
 
 def path_from_environment() -> str:
--- a/src/bulrushdale/routing/digest.py
+++ b/src/bulrushdale/routing/digest.py
@@ -9,7 +9,6 @@
 from collections import abc
 
 from bulrushdale import clock as clock_module
-from bulrushdale.routing import health
 from bulrushdale.routing import reports
 
 # A target that wasn't told of for so long is as urgent as one whose load has
@@ -17,7 +16,6 @@
 AGE_OF_ONE_MS = 1_000
 # A target without load is told of for so long, in case it was missed.
 IDLE_MEMORY_MS = 60_000
-IDLE = reports.TargetReport(0, health.Results(0, 0))
 
 
 class Digest:
@@ -44,7 +42,9 @@
         now_ms = self._clock.now_ms()
         self._busy_ms.update(dict.fromkeys(targets, now_ms))
         self._forget_idle(now_ms)
-        known = {name: targets.get(name, IDLE) for name in self._busy_ms}
+        known = {
+            name: targets.get(name, reports.IDLE) for name in self._busy_ms
+        }
         order = sorted(
             known, key=lambda name: -self._urgency(name, known[name], now_ms)
         )
@@ -57,7 +57,7 @@
         self, name: str, report: reports.TargetReport, now_ms: int
     ) -> float:
         """Return how much has changed, in requests, with age for change."""
-        told, told_ms = self._told.get(name, (IDLE, 0))
+        told, told_ms = self._told.get(name, (reports.IDLE, 0))
         changed = abs(report.in_flight - told.in_flight)
         changed += abs(report.results.failed - told.results.failed)
         return changed + (now_ms - told_ms) / AGE_OF_ONE_MS
--- a/src/bulrushdale/routing/health.py
+++ b/src/bulrushdale/routing/health.py
@@ -85,13 +85,22 @@
         self._results.clear()
 
 
+def is_suspect(target: Results) -> bool:
+    """Return whether a target fails so much that it has to be compared.
+
+    :param target: its results, as all routers saw them.
+    """
+    failed_share = target.failed_share
+    return target.failed >= MIN_FAILED and failed_share >= FAILED_SHARE
+
+
 def is_outlier(target: Results, service: Results) -> bool:
     """Return whether a target fails far more than its service.
 
     :param target: its results, as all routers saw them.
     :param service: the results of all the service's targets.
     """
-    if target.failed < MIN_FAILED:
+    if not is_suspect(target):
         return False
     others = Results(
         service.done - target.done, service.failed - target.failed
--- a/src/bulrushdale/routing/peers.py
+++ b/src/bulrushdale/routing/peers.py
@@ -120,6 +120,8 @@
         "_whole_digest",
         "_here_digest",
         "_next_sums_ms",
+        "_others",
+        "_others_until_ms",
     )
 
     def __init__(
@@ -138,6 +140,9 @@
         self._whole_digest = digest.Digest(clock)
         self._here_digest = digest.Digest(clock)
         self._next_sums_ms = 0
+        # What the other routers have at each target, until the next report.
+        self._others: abc.Mapping[str, reports.TargetReport] = {}
+        self._others_until_ms = 0
 
     def introduce(
         self, address: str, member: reports.Member = reports.UNKNOWN
@@ -172,6 +177,7 @@
                 return False
         peer.report = reports.complete(report, peer.report)
         peer.heard_ms = self._clock.now_ms()
+        self._others_until_ms = 0
         peer.asked_ms = None
         peer.passed_over_ms = None
         for address, member in report.members.items():
@@ -249,6 +255,7 @@
         if self.direct:
             return [(address, own) for address in self._peers]
         self._told = own.targets
+        self._others_until_ms = 0
         sent = [
             (address, own)
             for address, peer in self._peers.items()
@@ -318,19 +325,28 @@
             return [whole]
         return [r for r in self._fresh(REPORT_LIFE_MS) if not r.whole_fleet]
 
-    def _part(self, target_id: str) -> reports.TargetReport:
-        """Return the other routers' part in a target's load."""
-        total = reports.TargetReport(0, health.Results(0, 0))
-        for report in self._sources():
-            if target_id in report.targets:
-                total += report.targets[target_id]
-            if report.whole_fleet and target_id in self._told:
-                total -= self._told[target_id]
+    def others(self) -> abc.Mapping[str, reports.TargetReport]:
+        """Return the other routers' part in the load of targets, by id."""
+        now_ms = self._clock.now_ms()
+        if now_ms >= self._others_until_ms:
+            self._others = self._add_up_others()
+            # Reports go out of date meanwhile, which nobody tells.
+            self._others_until_ms = now_ms + REPORT_INTERVAL_MS
+        return self._others
+
+    def _add_up_others(self) -> dict[str, reports.TargetReport]:
+        sources = self._sources()
+        total = reports.add_up(report.targets for report in sources)
+        for report in sources:
+            if report.whole_fleet:
+                for target_id, told in self._told.items():
+                    if target_id in total:
+                        total[target_id] -= told
         return total
 
     def in_flight(self, target_id: str) -> int:
         """Return the requests that other routers have at a target."""
-        return self._part(target_id).in_flight
+        return self.others().get(target_id, reports.IDLE).in_flight
 
     def news_age_ms(self) -> int:
         """Return how old what is known of the others' load may be, in ms.
@@ -346,7 +362,7 @@
 
     def results(self, target_id: str) -> health.Results:
         """Return the results that other routers had from a target."""
-        return self._part(target_id).results
+        return self.others().get(target_id, reports.IDLE).results
 
     def store_up_ms(self) -> int:
         """Return for how long the store has answered some other router."""
--- a/src/bulrushdale/routing/placement.py
+++ b/src/bulrushdale/routing/placement.py
@@ -61,7 +61,7 @@
 
 
 def home(
-    key: int,
+    ranking: hashing.Ranking,
     settled: abc.Collection[str],
     staying: abc.Collection[str],
     gone: abc.Collection[str],
@@ -70,50 +70,54 @@
 
     Targets that have just joined don't, and one that left lately does.
 
-    :param key: hash of the prefix.
+    :param ranking: ranks all of these targets for the prefix.
     :param settled: targets that are in the list for some time.
     :param staying: all targets that get work, at least one.
     :param gone: targets that left lately.
     """
-    return hashing.winner(key, [*settled, *gone] if settled else staying)
+    return ranking.winner([*settled, *gone] if settled else staying)
 
 
 def prefix_order(
-    key: int, first: str, staying: abc.Collection[str]
-) -> list[str]:
-    """Return the order in which targets come into question for a prefix.
+    ranking: hashing.Ranking,
+    first: abc.Sequence[str],
+    staying: abc.Collection[str],
+) -> abc.Iterator[str]:
+    """Yield targets in the order in which a prefix may go to them.
 
     A prefix whose target is gone has to move anyway, and goes to any target;
-    the others leave out those that have just joined.
+    the others leave out those that have just joined. Most requests end at
+    the first one, so the rest is ordered only when it is asked for.
 
-    :param key: hash of the prefix.
-    :param first: its home.
+    :param ranking: ranks all targets that get work for the prefix.
+    :param first: where the prefix lives, and its home.
     :param staying: all targets that get work.
     """
-    order = hashing.rendezvous(key, staying)
-    if first not in staying:
-        return order
-    return [first, *(name for name in order if name != first)]
+    for name in first:
+        if name in staying:
+            yield name
+    yield from ranking.order(staying)
 
 
 def by_prefix(
-    order: abc.Sequence[str],
-    candidates: abc.Sequence[Candidate],
+    order: abc.Iterable[str],
+    loads: abc.Mapping[str, int],
     bound: float,
-) -> Candidate:
-    """Choose the first target of an order within the bound.
+    fits: abc.Callable[[str], bool],
+) -> str | None:
+    """Choose the first target of an order that fits, within the bound.
 
     :param order: the targets, the preferred one first.
-    :param candidates: at least one.
+    :param loads: the load of each.
     :param bound: most requests that a target may have.
-    :return: the least loaded if all are above the bound.
+    :param fits: whether a target may get the request.
+    :return: the least loaded if all are above the bound; none if none fits.
     """
-    by_id = {candidate.target_id: candidate for candidate in candidates}
     for target_id in order:
-        candidate = by_id.get(target_id)
-        if candidate is not None and candidate.load + 1 <= bound:
-            return candidate
-    return min(candidates, key=lambda candidate: candidate.load)
+        if loads[target_id] + 1 <= bound and fits(target_id):
+            return target_id
+    fit = [target_id for target_id in loads if fits(target_id)]
+    return min(fit, key=loads.__getitem__, default=None)
 
 
 def by_level(
--- a/src/bulrushdale/routing/reports.py
+++ b/src/bulrushdale/routing/reports.py
@@ -46,6 +46,9 @@
         )
 
 
+IDLE = TargetReport(0, health.Results(0, 0))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """What one router says of itself, or a collector of several.
@@ -118,13 +121,13 @@
         routers=routers,
         whole_fleet=whole,
         store_up_ms=store_up_ms,
-        targets=_add_up(parts),
+        targets=add_up(parts),
         places=places,
         leaving=tuple(sorted(leaving)),
     )
 
 
-def _add_up(
+def add_up(
     parts: abc.Iterable[abc.Mapping[str, TargetReport]],
 ) -> dict[str, TargetReport]:
     """Return the sum for each target.
--- a/src/bulrushdale/routing/selection.py
+++ b/src/bulrushdale/routing/selection.py
@@ -13,6 +13,7 @@
 from bulrushdale.routing import overrides as overrides_module
 from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import placement
+from bulrushdale.routing import reports
 from bulrushdale.routing import routes
 from bulrushdale.routing import targets as targets_module
 
@@ -102,32 +103,54 @@
             than none; if that is all of them, the fault may be near.
         """
         staying = self._targets.staying(service)
-        if not staying:
-            return None
-        loads = {t.target_id: self.load(t) for t in staying}
-        untried = [
-            t for t in staying if t.target_id not in tried and not t.resting
-        ]
-        fit = self._fit(untried) or (untried if unreachable_too else [])
-        if not fit:
-            return None
-        now_ms = self._clock.now_ms()
-        candidates = [
-            placement.Candidate(
-                t.target_id,
-                loads[t.target_id],
-                t.listing.slots,
-                t.listing.data_centre == self._data_centre,
-                now_ms < t.slow_until_ms,
-            )
-            for t in fit
-        ]
+        fits = self._fitness(service, tried, unreachable_too)
         if route.by_prefix and call.prompt:
-            return self._by_prefix(call, service, candidates, loads)
-        found = self._by_load(
-            candidates, self._unseen(staying), call.request_id
+            return self._by_prefix(call, service, staying, fits)
+        for fit in fits:
+            candidates = [
+                self._candidate(t) for t in staying if fit(t.target_id)
+            ]
+            if candidates:
+                found = self._by_load(
+                    candidates, self._unseen(staying), call.request_id
+                )
+                return Choice(self._targets.known(found.target_id))
+        return None
+
+    def _candidate(self, target: targets_module.Target) -> placement.Candidate:
+        return placement.Candidate(
+            target.target_id,
+            self.load(target),
+            target.listing.slots,
+            target.listing.data_centre == self._data_centre,
+            self._clock.now_ms() < target.slow_until_ms,
         )
-        return Choice(self._targets.known(found.target_id))
+
+    def _fitness(
+        self, service: str, tried: abc.Collection[str], unreachable_too: bool
+    ) -> list[abc.Callable[[str], bool]]:
+        """Return what targets must meet, by what must be at least.
+
+        Those set aside for failures are better than none. Each is judged
+        when it comes into question, as few of them do for a request.
+        """
+
+        def may_get_it(target_id: str) -> bool:
+            target = self._targets.known(target_id)
+            return target_id not in tried and not target.resting
+
+        def reachable(target_id: str) -> bool:
+            target = self._targets.known(target_id)
+            return not target.health.unreachable and may_get_it(target_id)
+
+        def well(target_id: str) -> bool:
+            if not reachable(target_id):
+                return False
+            target = self._targets.known(target_id)
+            self._judge(target, service)
+            return not target.health.ejected
+
+        return [well, reachable, *([may_get_it] if unreachable_too else [])]
 
     def has_other(self, service: str, tried: abc.Collection[str]) -> bool:
         """Return whether there is a target that wasn't tried yet."""
@@ -178,34 +201,38 @@
         self,
         call: calls.Call,
         service: str,
-        candidates: list[placement.Candidate],
-        loads: abc.Mapping[str, int],
-    ) -> Choice:
+        staying: list[targets_module.Target],
+        fits: list[abc.Callable[[str], bool]],
+    ) -> Choice | None:
+        if not staying:
+            return None
+        others = self._peers.others()
+        loads = {
+            t.target_id: t.in_flight
+            + others.get(t.target_id, reports.IDLE).in_flight
+            for t in staying
+        }
         key = hashing.hash64(call.affinity.encode())
+        gone = self._targets.gone(service)
+        ranking = hashing.Ranking(key, [*loads, *gone])
         hashed_to = placement.home(
-            key,
-            self._targets.settled(service),
-            loads,
-            self._targets.gone(service),
+            ranking, self._targets.settled(service), loads, gone
         )
-        order = placement.prefix_order(key, hashed_to, loads)
         lives_at = self._overrides.find(key)
-        if lives_at is not None:
-            order.insert(0, lives_at)
+        first = [hashed_to] if lives_at is None else [lives_at, hashed_to]
         bound = placement.load_bound(loads.values(), call.shared_tokens)
-        found = placement.by_prefix(order, candidates, bound)
-        self._overrides.note(
-            key, found.target_id, {hashed_to, hashing.winner(key, loads)}
-        )
-        return Choice(
-            self._targets.known(found.target_id),
-            self._cache_at(
-                service,
-                lives_at or hashed_to,
-                found.target_id,
-                call.shared_tokens,
-            ),
+        for fit in fits:
+            order = placement.prefix_order(ranking, first, loads)
+            found = placement.by_prefix(order, loads, bound, fit)
+            if found is not None:
+                break
+        else:
+            return None
+        self._overrides.note(key, found, {hashed_to, ranking.winner(loads)})
+        cache_at = self._cache_at(
+            service, lives_at or hashed_to, found, call.shared_tokens
         )
+        return Choice(self._targets.known(found), cache_at)
 
     def _cache_at(
         self, service: str, home: str, target_id: str, shared_tokens: int
@@ -238,31 +265,32 @@
         counts = ", ".join(f"{n} {state}" for state, n in states.items())
         return f"no target of service {service!r} left: {counts or 'none'}"
 
-    def judge(self, service: str) -> None:
-        """Set targets aside that fail far more than their service."""
+    def _results(self, target: targets_module.Target) -> health.Results:
+        """Return a target's results, as all routers saw them."""
+        others = self._peers.results(target.target_id)
+        return target.health.results() + others
+
+    def _judge(self, target: targets_module.Target, service: str) -> None:
+        """Set a target aside if it fails far more than its service."""
+        own = self._results(target)
+        if target.health.ejected or not health.is_suspect(own):
+            return
         staying = self._targets.staying(service)
-        results = {
-            t.target_id: t.health.results() + self._peers.results(t.target_id)
-            for t in staying
-        }
-        total = sum(results.values(), health.Results(0, 0))
         most = int(len(staying) * health.MAX_EJECTED_SHARE)
-        aside = sum(1 for t in staying if t.health.ejected)
-        for target in staying:
-            if aside >= most:
-                return
-            own = results[target.target_id]
-            if not target.health.ejected and health.is_outlier(own, total):
-                target.health.eject()
-                aside += 1
-                LOG.warning(
-                    "target set aside",
-                    extra={
-                        "event": "target.ejected",
-                        "target": target.target_id,
-                        "service": service,
-                        "failed": own.failed,
-                        "done": own.done,
-                        "for_ms": health.EJECTION_MS,
-                    },
-                )
+        if sum(1 for t in staying if t.health.ejected) >= most:
+            return
+        total = sum(map(self._results, staying), health.Results(0, 0))
+        if not health.is_outlier(own, total):
+            return
+        target.health.eject()
+        LOG.warning(
+            "target set aside",
+            extra={
+                "event": "target.ejected",
+                "target": target.target_id,
+                "service": service,
+                "failed": own.failed,
+                "done": own.done,
+                "for_ms": health.EJECTION_MS,
+            },
+        )
--- a/src/bulrushdale/routing/targets.py
+++ b/src/bulrushdale/routing/targets.py
@@ -157,6 +157,7 @@
         "_clock",
         "_targets",
         "_by_service",
+        "_staying",
         "_gone",
         "_left_ms",
         "_away_until_ms",
@@ -168,6 +169,8 @@
         self._clock = clock
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, dict[str, Target]] = {}
+        # By service, the targets that don't leave; made when asked for.
+        self._staying: dict[str, list[Target]] = {}
         self._gone: dict[str, dict[str, tuple[int, Target]]] = {}
         self._left_ms: dict[tuple[str, int], int] = {}
         self._first_ms: int | None = None
@@ -202,6 +205,7 @@
         self._targets[listing.target_id] = target
         by_id = self._by_service.setdefault(listing.service, {})
         by_id[listing.target_id] = target
+        self._staying.pop(listing.service, None)
         self._log("target.listed", target, listing.address)
 
     def note_leaving(self, target: Target, reason: str) -> None:
@@ -257,10 +261,12 @@
         self._targets.pop(target.target_id, None)
         by_id = self._by_service.get(target.listing.service, {})
         by_id.pop(target.target_id, None)
+        self._staying.pop(target.listing.service, None)
         self._log("target.dropped", target, reason)
 
     def _leave(self, target: Target) -> None:
         target.leaving = True
+        self._staying.pop(target.listing.service, None)
         gone = self._gone.setdefault(target.listing.service, {})
         gone[target.target_id] = (self._clock.now_ms(), target)
 
@@ -380,5 +386,9 @@
 
     def staying(self, service: str) -> list[Target]:
         """Return a service's targets that may get new work."""
-        by_id = self._by_service.get(service, {})
-        return [target for target in by_id.values() if not target.leaving]
+        found = self._staying.get(service)
+        if found is None:
+            by_id = self._by_service.get(service, {})
+            found = [t for t in by_id.values() if not t.leaving]
+            self._staying[service] = found
+        return found
