--- a/src/bulrushdale/forwarding/account.py
+++ b/src/bulrushdale/forwarding/account.py
@@ -56,19 +56,19 @@
 
     def attempt(self, outcome: str) -> None:
         """Count an attempt at a target by how it ended."""
-        self._metrics.attempts.add(1, {"outcome": outcome})
+        self._metrics.attempts.note(1, {"outcome": outcome})
 
     def first_event(self) -> None:
         """Record the time to the first event, or to a whole answer."""
-        self._metrics.first_event_ms.record(
+        self._metrics.first_event_ms.note(
             self._after_ms(), {"kind": self._kind}
         )
 
     def answered(self, target_id: str, status: int) -> None:
         """Log and count a final answer of a target."""
         self.attempt("answered")
-        self._metrics.answer_ms.record(self._after_ms(), {"kind": self._kind})
-        self._metrics.requests.add(
+        self._metrics.answer_ms.note(self._after_ms(), {"kind": self._kind})
+        self._metrics.requests.note(
             1, {"kind": self._kind, "outcome": str(status)}
         )
         self.log("request.answered", target=target_id, status=status)
--- a/src/bulrushdale/forwarding/metrics.py
+++ b/src/bulrushdale/forwarding/metrics.py
@@ -1,14 +1,14 @@
-"""Counters and latency histograms of a router."""
+"""Counters and latency histograms of a router.
+
+Loading the SDK that exports them takes a fifth of a start, and a router that
+starts late serves nobody. So instruments keep what they are told until the
+SDK is loaded, some time after the start or at the first scrape.
+"""
 
 from collections import abc
+import importlib
 import typing
 
-from opentelemetry.exporter import prometheus
-from opentelemetry import metrics
-from opentelemetry.sdk import metrics as sdk_metrics
-from opentelemetry.sdk.metrics import view
-import prometheus_client
-
 # From a local answer to the longest deadline, a factor of two or so apart.
 LATENCY_BUCKETS_MS = (
     5,
@@ -24,9 +24,68 @@
     6_000,
     15_000,
 )
+_EXPORTER_MODULE = "bulrushdale.forwarding.exporter"
+
+Labels = abc.Mapping[str, str]
+# Returns a gauge's value for each value of its label.
+Read = abc.Callable[[], abc.Mapping[str, float]]
+
 
+class Exporter(typing.Protocol):
+    """What serves the metrics, once it is loaded."""
 
-Histogram = metrics.Histogram
+    def counter(self, name: str, description: str) -> abc.Callable[..., None]:
+        """Return what adds to a new counter."""
+
+    def histogram(
+        self, name: str, description: str
+    ) -> abc.Callable[..., None]:
+        """Return what records a value of a new histogram."""
+
+    def gauge(
+        self, name: str, description: str, read: Read, label: str
+    ) -> None:
+        """Export values that are read at each scrape."""
+
+    def scrape(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+
+
+class Instrument:
+    """A counter or histogram, before and after the exporter is there.
+
+    :param name: the metric's name.
+    :param description: what it is.
+    """
+
+    __slots__ = ("name", "description", "_early", "_note")
+
+    def __init__(self, name: str, description: str) -> None:
+        self.name = name
+        self.description = description
+        self._early: list[tuple[float, Labels]] = []
+        self._note: abc.Callable[..., None] | None = None
+
+    def note(self, value: float, labels: Labels) -> None:
+        """Count or record a value.
+
+        :param value: what is added, or a time in ms.
+        :param labels: the labels' values, by name.
+        """
+        if self._note is None:
+            self._early.append((value, labels))
+        else:
+            self._note(value, labels)
+
+    def connect(self, note: abc.Callable[..., None]) -> None:
+        """Pass on what was noted so far, and all that follows.
+
+        :param note: takes values and labels.
+        """
+        for value, labels in self._early:
+            note(value, labels)
+        self._early.clear()
+        self._note = note
 
 
 class Metrics:
@@ -45,52 +104,35 @@
         "first_event_ms",
         "answer_ms",
         "store_reads",
-        "_registry",
-        "_meter",
+        "_gauges",
+        "_exporter",
     )
 
     def __init__(self) -> None:
-        self._registry = prometheus_client.CollectorRegistry()
-        reader = prometheus.PrometheusMetricReader(
-            disable_target_info=True, registry=self._registry
-        )
-        buckets = view.View(
-            instrument_name="*_ms",
-            instrument_type=sdk_metrics.Histogram,
-            aggregation=view.ExplicitBucketHistogramAggregation(
-                LATENCY_BUCKETS_MS
-            ),
-        )
-        provider = sdk_metrics.MeterProvider([reader], views=[buckets])
-        meter = provider.get_meter("bulrushdale")
-        self._meter = meter
-        self.requests = meter.create_counter(
+        self.requests = Instrument(
             "bulrushdale_requests",
-            description="Final answers by kind of route and outcome.",
+            "Final answers by kind of route and outcome.",
         )
-        self.attempts = meter.create_counter(
-            "bulrushdale_attempts",
-            description="Requests to targets by outcome.",
+        self.attempts = Instrument(
+            "bulrushdale_attempts", "Requests to targets by outcome."
         )
-        self.first_event_ms = meter.create_histogram(
+        self.first_event_ms = Instrument(
             "bulrushdale_first_event_ms",
-            description="Time from a request to its answer's first bytes.",
+            "Time from a request to its answer's first bytes.",
         )
-        self.answer_ms = meter.create_histogram(
+        self.answer_ms = Instrument(
             "bulrushdale_answer_ms",
-            description="Time from a request to its answer's end.",
+            "Time from a request to its answer's end.",
         )
-        self.store_reads = meter.create_counter(
+        self.store_reads = Instrument(
             "bulrushdale_store_reads",
-            description="Reads of the store by feed and outcome.",
+            "Reads of the store by feed and outcome.",
         )
+        self._gauges: list[tuple[str, str, Read, str]] = []
+        self._exporter: Exporter | None = None
 
     def gauge(
-        self,
-        name: str,
-        description: str,
-        read: abc.Callable[[], abc.Mapping[str, float]],
-        label: str,
+        self, name: str, description: str, read: Read, label: str
     ) -> None:
         """Export values that are read at each scrape.
 
@@ -99,19 +141,32 @@
         :param read: returns its value for each value of the label.
         :param label: the label's name.
         """
+        gauge = (f"bulrushdale_{name}", description, read, label)
+        self._gauges.append(gauge)
+        if self._exporter is not None:
+            self._exporter.gauge(*gauge)
 
-        def observe(_: typing.Any) -> list[metrics.Observation]:
-            return [
-                metrics.Observation(value, {label: name})
-                for name, value in read().items()
-            ]
-
-        self._meter.create_observable_gauge(
-            f"bulrushdale_{name}",
-            callbacks=[observe],
-            description=description,
-        )
+    def connect(self) -> Exporter:
+        """Load the exporter, unless it is, and hand it what was noted."""
+        if self._exporter is not None:
+            return self._exporter
+        exporter = load().Exporter()
+        for counter in (self.requests, self.attempts, self.store_reads):
+            counter.connect(
+                exporter.counter(counter.name, counter.description)
+            )
+        for times in (self.first_event_ms, self.answer_ms):
+            times.connect(exporter.histogram(times.name, times.description))
+        for gauge in self._gauges:
+            exporter.gauge(*gauge)
+        self._exporter = exporter
+        return exporter
 
     def scrape(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
-        return prometheus_client.generate_latest(self._registry)
+        return self.connect().scrape()
+
+
+def load() -> typing.Any:
+    """Return the module of the exporter; its first load takes a while."""
+    return importlib.import_module(_EXPORTER_MODULE)
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -51,6 +51,9 @@
 # cost a read for each.
 TARGETS_INTERVAL_MS = 600
 EXPIRE_INTERVAL_MS = 250
+# The callers that a start kept waiting come first; they are served within
+# some seconds.
+EXPORTER_DELAY_MS = 5_000
 
 
 class Gateway(aiomisc.Service):
@@ -227,7 +230,7 @@
         self._targets.learn_leaving(report.leaving)
 
     def _count_read(self, feed: str, outcome: str) -> None:
-        self._metrics.store_reads.add(1, {"feed": feed, "outcome": outcome})
+        self._metrics.store_reads.note(1, {"feed": feed, "outcome": outcome})
 
     def _confirm(self, note: abc.Callable[[int], None]) -> feed_module.Confirm:
         """Return what a feed calls, which also ends the start of callers."""
@@ -262,8 +265,16 @@
             self._every(peers_module.REPORT_INTERVAL_MS, self._report),
             self._every(EXPIRE_INTERVAL_MS, self._expire),
             self._prober.repeat(),
+            self._load_exporter(),
         ]
 
+    async def _load_exporter(self) -> None:
+        """Load what serves the metrics, in a thread so that requests go on."""
+        await self._activity.informed.wait()
+        await self._clock.sleep_ms(EXPORTER_DELAY_MS)
+        await asyncio.to_thread(metrics_module.load)
+        self._metrics.connect()
+
     async def _follow(
         self, name: str, topic: str, wait_ms: int, interval_ms: int
     ) -> None:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -47,8 +47,15 @@
 class Response:
     """An answer that can be closed."""
 
-    async def read(self):
-        return b"done"
+    def __init__(self):
+        self.content = self
+        self.connection = None
+
+    async def iter_any(self):
+        yield b"done"
+
+    def release(self):
+        pass
 
     def close(self):
         pass
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,49 @@
+"""Metrics that are counted before their exporter is loaded."""
+
+import subprocess
+import sys
+
+from bulrushdale.forwarding import metrics as metrics_module
+
+
+def value(text, name, *labels):
+    """Return the value of the line with a name and all of some labels."""
+    (line,) = [
+        line
+        for line in text.splitlines()
+        if line.startswith(f"bulrushdale_{name}{{")
+        and all(label in line for label in labels)
+    ]
+    return float(line.rpartition(" ")[2])
+
+
+def test_nothing_counted_before_the_exporter_is_lost():
+    metrics = metrics_module.Metrics()
+    metrics.requests.note(1, {"kind": "stream", "outcome": "200"})
+    metrics.answer_ms.note(30, {"kind": "stream"})
+    metrics.gauge("routers", "Live routers.", lambda: {"live": 3}, "state")
+    metrics.connect()
+    metrics.requests.note(1, {"kind": "stream", "outcome": "200"})
+    metrics.gauge("targets", "Targets.", lambda: {"good": 5}, "state")
+    text = metrics.scrape().decode()
+    assert value(text, "requests_total", 'kind="stream"') == 2
+    assert value(text, "answer_ms_bucket", 'le="50.0"') == 1
+    assert value(text, "answer_ms_bucket", 'le="20.0"') == 0
+    assert value(text, "routers", 'state="live"') == 3
+    assert value(text, "targets", 'state="good"') == 5
+
+
+def test_start_does_not_wait_for_the_exporter():
+    """Nor for other libraries that a start doesn't need."""
+    code = (
+        "import sys, bulrushdale.gateway;"
+        "print([n for n in ('opentelemetry', 'prometheus_client', 'pydantic',"
+        " 'grpclib', 'google.protobuf') if n in sys.modules])"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", code],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert found.stdout.strip() == "[]"
