A wait that becomes silent is told, whichever wait for its target ended before

Cause: waits for a target shared one set, which went with the last of them; a begun answer that fell silent later was added to a set that nobody asks. Seen in reading the change. The metrics' SDK is loaded 8 s after the start also while the store is away, as what is counted until then is kept one by one.

--- a/bench/scale.py
+++ b/bench/scale.py
@@ -42,7 +42,7 @@
 )
 
 
-def _call(number: int) -> calls.Call:
+def make_call(number: int) -> calls.Call:
     parts = (
         calls.PromptPart(f"prefix-{number}", 2_000),
         calls.PromptPart("own", 100),
@@ -111,7 +111,7 @@
     :param targets: targets of the service.
     """
     selection = make_selection(targets, clock_module.Clock())
-    chosen = [_call(number) for number in range(CHOICES)]
+    chosen = [make_call(number) for number in range(CHOICES)]
     started_ns = time.perf_counter_ns()
     for call in chosen:
         selection.choose(call, ROUTE, SERVICE, ())
--- a/src/bulrushdale/forwarding/probes.py
+++ b/src/bulrushdale/forwarding/probes.py
@@ -69,7 +69,6 @@
         :raises TimeoutError: if the wait is over.
         """
         loop = asyncio.get_running_loop()
-        waits = self._waits.setdefault(target.target_id, set())
         limit = asyncio.timeout(timeout_ms / 1000)
 
         def leave() -> None:
@@ -77,7 +76,7 @@
                 limit.reschedule(loop.time())
 
         def note_silent() -> None:
-            waits.add(leave)
+            self._listen(target, leave)
             if target.health.unreachable:
                 leave()
             else:
@@ -87,14 +86,26 @@
         try:
             async with limit:
                 if not begun:
-                    waits.add(leave)
+                    self._listen(target, leave)
                 with _repeated(leave, patience_ms):
                     yield
         finally:
             silence.cancel()
-            waits.discard(leave)
-            if not waits and self._waits.get(target.target_id) is waits:
-                del self._waits[target.target_id]
+            self._unlisten(target, leave)
+
+    def _listen(
+        self, target: targets_module.Target, leave: abc.Callable[[], None]
+    ) -> None:
+        """Have a wait told when its target turns out to be unreachable."""
+        self._waits.setdefault(target.target_id, set()).add(leave)
+
+    def _unlisten(
+        self, target: targets_module.Target, leave: abc.Callable[[], None]
+    ) -> None:
+        waits = self._waits.get(target.target_id, set())
+        waits.discard(leave)
+        if not waits:
+            self._waits.pop(target.target_id, None)
 
     def suspect(self, target: targets_module.Target) -> None:
         """Check a target, unless a check is under way."""
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -52,8 +52,8 @@
 TARGETS_INTERVAL_MS = 600
 EXPIRE_INTERVAL_MS = 250
 # The callers that a start kept waiting come first; they are served within
-# some seconds.
-EXPORTER_DELAY_MS = 5_000
+# some seconds. What is counted meanwhile is kept one by one.
+EXPORTER_DELAY_MS = 8_000
 
 
 class Gateway(aiomisc.Service):
@@ -270,7 +270,6 @@
 
     async def _load_exporter(self) -> None:
         """Load what serves the metrics, in a thread so that requests go on."""
-        await self._activity.informed.wait()
         await self._clock.sleep_ms(EXPORTER_DELAY_MS)
         await asyncio.to_thread(metrics_module.load)
         self._metrics.connect()
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -66,6 +66,31 @@
     assert gone.health.unreachable
 
 
+async def test_begun_answer_is_left_only_once_it_is_silent(
+    targets, prober, target
+):
+    """Another wait for the target ends first, and nobody else tells of it."""
+    gone = add(targets, "t1", target.address)
+    await target.stop()
+    started = asyncio.get_running_loop().time()
+
+    async def go_on(duration_s):
+        async with prober.watch(
+            gone, 5_000, may_leave=lambda: True, begun=True
+        ):
+            await asyncio.sleep(duration_s)
+
+    lively, silent = [
+        asyncio.create_task(go_on(duration_s)) for duration_s in (0.1, 5)
+    ]
+    prober.note_unreachable(gone)
+    await lively
+    with pytest.raises(TimeoutError):
+        await silent
+    spent_s = asyncio.get_running_loop().time() - started
+    assert probes.SILENCE_MS / 1000 <= spent_s < 1
+
+
 async def test_wait_for_what_may_not_be_repeated_goes_on(
     targets, prober, target
 ):
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -31,7 +31,9 @@
 
 def choose(selection, count):
     for number in range(count):
-        selection.choose(scale._call(number), scale.ROUTE, scale.SERVICE, ())
+        selection.choose(
+            scale.make_call(number), scale.ROUTE, scale.SERVICE, ()
+        )
 
 
 def test_reports_are_added_up_once_for_many_choices(selection, monkeypatch):
