Soak: targets that rest, leave by their answers only, answer late or without end

Checked: no request of a router 0.5 s after a target told it that it leaves, no more than two within a pause that the target asked it for, both excused by faults of the router or its way since.

--- a/soak/checker.py
+++ b/soak/checker.py
@@ -7,6 +7,10 @@
 REVOKE_MS = 5_000
 # A target may get work for so long after its entry said that it leaves.
 LEAVE_MS = 2_500
+# A router that a target told something acts on it after so long.
+TOLD_MS = 500
+# Requests that may be on their way to a target that asked for a pause.
+MOST_ON_THEIR_WAY = 2
 # Statuses that promise that a request has not run.
 NOT_RUN = (408, 421, 429, 503)
 
@@ -24,6 +28,21 @@
     at_ms: int
 
 
+@dataclasses.dataclass(slots=True)
+class Told:
+    """What a target told one router in an answer.
+
+    :param at_ms: when, on the soak's clock.
+    :param until_ms: the end of the pause that it asked for; none if it
+        leaves.
+    :param arrived: requests of that router that arrived all the same.
+    """
+
+    at_ms: int
+    until_ms: int | None = None
+    arrived: int = 0
+
+
 class Checker:
     """Collects what was seen, and what breaks a promise.
 
@@ -42,6 +61,46 @@
         self._once: set[str] = set()
         self._left_ms: dict[str, int] = {}
         self._revoked_ms: int | None = None
+        self._leaving: dict[tuple[str, str], Told] = {}
+        self._resting: dict[tuple[str, str], Told] = {}
+
+    def told_leaving(self, target: str, router: str, now_ms: int) -> None:
+        """Note that a target told a router that it leaves."""
+        self._leaving.setdefault((target, router), Told(now_ms))
+
+    def told_rest(
+        self, target: str, router: str, now_ms: int, rest_ms: int
+    ) -> None:
+        """Note that a target asked a router for a pause."""
+        self._resting[target, router] = Told(now_ms, now_ms + rest_ms)
+
+    def arrived(
+        self, target: str, router: str, now_ms: int, calm_ms: int
+    ) -> None:
+        """Note that a request arrived, whether it runs or not.
+
+        :param target: the target's name.
+        :param router: the router that sent it.
+        :param now_ms: the time, on the soak's clock.
+        :param calm_ms: for how long the router and its way to the target
+            were left alone by faults.
+        """
+        for known in (self._leaving, self._resting):
+            told = known.get((target, router))
+            if told is None:
+                continue
+            since_ms = now_ms - told.at_ms
+            if calm_ms < since_ms:
+                del known[target, router]
+                continue
+            over = told.until_ms is not None and now_ms >= told.until_ms
+            if over or since_ms <= TOLD_MS:
+                continue
+            told.arrived += 1
+            if told.until_ms is None:
+                self.broken.append(f"{router} asks {target}, which leaves")
+            elif told.arrived > MOST_ON_THEIR_WAY:
+                self.broken.append(f"{router} asks {target}, which rests")
 
     def left(self, target: str, now_ms: int) -> None:
         """Note that a target's entry says that it leaves."""
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -1,6 +1,7 @@
 """One run of the soak: processes, faults and callers from one seed."""
 
 import asyncio
+import collections
 from collections import abc
 import contextlib
 import os
@@ -27,6 +28,7 @@
 STREAM_EVENTS = 12
 TARGETS = 4
 FAULT_GAP_S = 0.7
+REST_MS = 1_500
 OLD_KEY, KEY = "key-old", "key-new"
 
 
@@ -102,7 +104,7 @@
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "bulrushdale.gateway",
+                "bulrushdale.start",
                 env={**os.environ, "BULRUSHDALE_CONFIG": str(settings)},
                 stdout=out,
                 stderr=out,
@@ -135,8 +137,10 @@
         self.targets: dict[str, proxy_module.Proxy] = {}
         self.asked: dict[str, Router] = {}
         self.faults: dict[str, str] = {}
+        self.paths_calm: dict[str, Calm] = collections.defaultdict(Calm)
         self.key = OLD_KEY
         self.version = 1
+        self.leaving = ""
         self.stack = contextlib.AsyncExitStack()
         self.started_ms = _now_ms()
         self.history: list[str] = []
@@ -232,6 +236,20 @@
         if request.headers.get("x-expect-instance") != name:
             writer.write(scripted_target.answer(request, "421 Misdirected"))
             return None
+        router = self.asked[request.request_id]
+        calm_ms = self.calm_ms(router, name)
+        self.checker.arrived(name, router.name, _now_ms(), calm_ms)
+        if self.faults.get(name) == "rest":
+            self.checker.told_rest(name, router.name, _now_ms(), REST_MS)
+            writer.write(
+                scripted_target.answer(
+                    request,
+                    "503 Full",
+                    X_Not_Executed="1",
+                    Retry_After=f"{REST_MS / 1000}",
+                )
+            )
+            return None
         old_key = request.headers.get("x-own-key") == OLD_KEY
         self.checker.ran(
             request.request_id,
@@ -247,10 +265,21 @@
             await self._stream(request, writer, STREAM_EVENTS)
             writer.write(scripted_target.chunk(b""))
             return None
+        extra = {}
+        if name == self.leaving:
+            self.checker.told_leaving(name, router.name, _now_ms())
+            extra["Server_Leaving"] = "1"
         body = f"{request.request_id} done".encode()
-        writer.write(scripted_target.answer(request, body=body))
+        writer.write(scripted_target.answer(request, body=body, **extra))
         return None
 
+    def calm_ms(self, router: Router, target: str) -> int:
+        """Return for how long a router and its way to a target are whole."""
+        return min(
+            router.process_calm.lasted_ms(),
+            self.paths_calm[target].lasted_ms(),
+        )
+
     async def _stream(
         self,
         request: scripted_target.Received,
@@ -280,6 +309,24 @@
             body = f"{request.request_id} done".encode()
             writer.write(scripted_target.answer(request, body=body) * 2)
             return None
+        if fault == "late":
+            body = f"{request.request_id} done".encode()
+            answer = scripted_target.answer(request, body=body)
+            writer.write(answer)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.write(answer)
+            return None
+        if fault == "endless":
+            writer.write(scripted_target.stream_head(request))
+            while True:
+                writer.write(scripted_target.chunk(b"x" * 65_536))
+                await writer.drain()
+        if fault == "trickle":
+            writer.write(scripted_target.stream_head(request))
+            while True:
+                writer.write(scripted_target.chunk(b"."))
+                await asyncio.sleep(0.1)
         if fault == "error":
             writer.write(scripted_target.answer(request, "500 Broken"))
             return None
@@ -396,6 +443,7 @@
     work = []
     revoke_s = time.monotonic() + 2
     leave_s = time.monotonic() + 4
+    tell_s = time.monotonic() + 3
     while time.monotonic() < end_s:
         fault = run.random.choice(faults)
         work.append(asyncio.create_task(fault(run)))
@@ -405,6 +453,10 @@
             await run.publish((KEY,))
             run.checker.revoked(_now_ms())
             run.key = KEY
+        if tell_s is not None and time.monotonic() > tell_s:
+            tell_s = None
+            run.note("t1 leaves, and says so in its answers only")
+            run.leaving = "t1"
         if leave_s is not None and time.monotonic() > leave_s:
             leave_s = None
             run.note("t0 leaves")
@@ -461,7 +513,8 @@
 
 async def _cut_target(run: Run) -> None:
     name = run.random.choice(list(run.targets))
-    await _cut(run, name, run.targets[name])
+    with run.paths_calm[name].broken():
+        await _cut(run, name, run.targets[name])
 
 
 async def _cut(run: Run, what: str, path: proxy_module.Proxy | None) -> None:
@@ -479,7 +532,17 @@
 async def _spoil_target(run: Run) -> None:
     name = run.random.choice(list(run.targets))
     run.faults[name] = run.random.choice(
-        ["hang", "cut", "close", "extra", "error"]
+        [
+            "hang",
+            "cut",
+            "close",
+            "extra",
+            "error",
+            "late",
+            "endless",
+            "trickle",
+            "rest",
+        ]
     )
     await asyncio.sleep(run.random.uniform(0.5, 4))
     run.faults.pop(name, None)
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -65,3 +65,32 @@
 def test_key_is_denied_before_it_is_taken_away(checker):
     checker.answered("q1", 401, "", whole=False, old_key=True)
     assert checker.broken == ["q1 denied with 401"]
+
+
+def test_work_after_a_target_told_that_it_leaves_is_found():
+    checker = checker_module.Checker()
+    checker.told_leaving("t1", "r1", 0)
+    checker.arrived("t1", "r1", 400, 9_000)
+    checker.arrived("t1", "r2", 900, 9_000)
+    checker.arrived("t2", "r1", 900, 9_000)
+    assert checker.broken == []
+    checker.arrived("t1", "r1", 900, 9_000)
+    assert len(checker.broken) == 1
+
+
+def test_work_within_a_pause_is_found():
+    checker = checker_module.Checker()
+    checker.told_rest("t1", "r1", 0, 1_000)
+    for now_ms in (100, 200, 300, 600, 700, 1_000):
+        checker.arrived("t1", "r1", now_ms, 9_000)
+    assert checker.broken == []
+    checker.arrived("t1", "r1", 900, 9_000)
+    assert len(checker.broken) == 1
+
+
+def test_a_router_that_was_disturbed_since_is_excused():
+    checker = checker_module.Checker()
+    checker.told_leaving("t1", "r1", 0)
+    checker.arrived("t1", "r1", 900, 300)
+    checker.arrived("t1", "r1", 1_000, 400)
+    assert checker.broken == []
