--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -439,7 +439,15 @@
 
 async def _break(run: Run, end_s: float) -> None:
     """Inject faults, overlapping and in series, until the end."""
-    faults = [_kill, _freeze, _stop, _cut_store, _cut_target, _spoil_target]
+    faults = [
+        _kill,
+        _freeze,
+        _stop,
+        _cut_store,
+        _cut_target,
+        _spoil_target,
+        _overload_target,
+    ]
     work = []
     revoke_s = time.monotonic() + 2
     leave_s = time.monotonic() + 4
@@ -541,8 +549,17 @@
             "late",
             "endless",
             "trickle",
-            "rest",
         ]
     )
     await asyncio.sleep(run.random.uniform(0.5, 4))
     run.faults.pop(name, None)
+
+
+async def _overload_target(run: Run) -> None:
+    """Have a target turn requests away, and ask for a pause each time."""
+    name = run.random.choice(list(run.targets))
+    run.note(f"{name} asks for pauses")
+    run.faults[name] = "rest"
+    await asyncio.sleep(run.random.uniform(1, 4))
+    run.faults.pop(name, None)
+    run.note(f"{name} asks for no more pauses")
