--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -169,3 +169,21 @@
     def url(self, path, router=None):
         settings = (router or self.routers[0]).settings
         return f"http://{ports.HOST}:{settings.caller_port}{path}"
+
+
+@contextlib.asynccontextmanager
+async def started(*targets):
+    """A deployment with a configuration, some targets and a ready router.
+
+    :param targets: their names.
+    """
+    deployment = Deployment()
+    async with deployment.stack:
+        await deployment.start_store()
+        await deployment.publish()
+        for name in targets:
+            await deployment.add_target(name)
+        await deployment.ready(await deployment.add_router())
+        yield deployment
+        for router in deployment.routers:
+            await router.stop()
