--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -1,5 +1,7 @@
 """Passes one request on to targets until it has a final answer."""
 
+import asyncio
+
 import aiohttp
 from aiohttp import web
 import multidict
@@ -88,6 +90,8 @@
             parts.clock,
             received_ms,
             admitted.route.kind.value,
+            admitted.route.target_time_ms,
+            admitted.route.max_pause_ms,
             request_id=call.request_id,
             route=admitted.route.name,
             service=self._service,
@@ -115,16 +119,20 @@
                 self._call.request_id,
             )
         self._parts.budget.note_request(self._service)
-        while True:
-            choice = self._choose()
-            target = choice.target
-            target.in_flight += 1
-            try:
-                response = await self._try(target, choice.cache_at)
-            finally:
-                target.in_flight -= 1
-            if response is not None:
-                return response
+        try:
+            while True:
+                choice = self._choose()
+                target = choice.target
+                target.in_flight += 1
+                try:
+                    response = await self._try(target, choice.cache_at)
+                finally:
+                    target.in_flight -= 1
+                if response is not None:
+                    return response
+        except asyncio.CancelledError:
+            self._account.log("request.left")
+            raise
 
     def _choose(self) -> selection_module.Choice:
         """Return the next target to try, or end the request."""
@@ -364,7 +372,7 @@
         if head.success and self._slot_free:
             took_ms = self._parts.clock.now_ms() - self._sent_ms
             self._parts.selection.note_work(self._service, took_ms)
-        self._account.first_event()
+        self._account.event()
         self._account.answered(target.target_id, head.status)
         return web.Response(
             status=head.status,
@@ -383,6 +391,7 @@
         try:
             async with self._wait(target):
                 response = await self._begun(opened.head)
+                self._account.event()
                 await response.write(begun)
                 async for data in opened.response.content.iter_any():
                     size_bytes += len(data)
@@ -447,6 +456,7 @@
                 await response.write(found.data)
             if found.count:
                 event_ms = clock.now_ms()
+                self._account.event()
             if found.fault is not None:
                 return found.fault
             if not data and content.at_eof():
@@ -464,6 +474,5 @@
             if self._parts.draining():
                 self._response.force_close()
             self._account.log("request.first_event")
-            self._account.first_event()
             await self._response.prepare(self._request)
         return self._response
