Listen for callers before the modules are loaded

Callers that came meanwhile were refused by the system, and most return once only. Ruled out: the store (the first reads take 20 ms), the balancer (it uses all routers of a data centre where fewer than half are ready).

--- a/bench/added.py
+++ b/bench/added.py
@@ -98,7 +98,7 @@
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
-        "bulrushdale.gateway",
+        "bulrushdale.start",
         env={**os.environ, "BULRUSHDALE_CONFIG": str(path)},
         stdout=asyncio.subprocess.DEVNULL,
     )
--- a/examples/platform.py
+++ b/examples/platform.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 import orjson
 
+from bulrushdale.forwarding import ports as port_module
 from bulrushdale.forwarding import settings as settings_module
 from bulrushdale import gateway
 from examples import ports
@@ -129,6 +130,7 @@
     router = gateway.Gateway(
         settings=settings,
         load_settings=lambda: dataclasses.replace(settings),
+        sockets=port_module.bind(settings.host, settings.ports),
     )
     await router.start()
     stack.push_async_callback(router.stop)
--- a/src/bulrushdale/forwarding/settings.py
+++ b/src/bulrushdale/forwarding/settings.py
@@ -46,3 +46,9 @@
     retry_ratio: float
     retry_slack: float
     retry_window_ms: int
+
+    @property
+    def ports(self) -> dict[str, int]:
+        """Ports over TCP that others than routers use, by their setting."""
+        names = ("caller_port", "ready_port", "metrics_port")
+        return {name: getattr(self, name) for name in names}
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -6,7 +6,7 @@
 import dataclasses
 import logging
 import signal
-import sys
+import socket
 
 from aiohttp import web
 import aiomisc
@@ -21,14 +21,13 @@
 from bulrushdale.forwarding import logs
 from bulrushdale.forwarding import metrics as metrics_module
 from bulrushdale.forwarding import parts as parts_module
-from bulrushdale.forwarding import ports
 from bulrushdale.forwarding import probes
+from bulrushdale.forwarding import servers
 from bulrushdale.forwarding import settings as settings_module
 from bulrushdale.platform import configuration
 from bulrushdale.platform import headers
 from bulrushdale.platform import listings
 from bulrushdale.platform import registry
-from bulrushdale.platform import settings as platform_settings
 from bulrushdale.platform import store as store_module
 from bulrushdale.routing import budget as budget_module
 from bulrushdale.routing import overrides as overrides_module
@@ -61,32 +60,30 @@
 
     settings: settings_module.Settings
     load_settings: abc.Callable[[], settings_module.Settings]
+    # The ports that it serves, by the names of their settings.
+    sockets: abc.Mapping[str, socket.socket]
 
     async def start(self) -> None:
-        """Open the ports and start the background work."""
-        names = ("caller_port", "ready_port", "metrics_port")
-        sockets = ports.bind(
-            self.settings.host,
-            {name: getattr(self.settings, name) for name in names},
-        )
+        """Serve the ports and start the background work."""
+        sockets = self.sockets
         self._clock = clock_module.Clock()
         self._stack = contextlib.AsyncExitStack()
         await self._wire()
         await self._links.start()
         self._work = [asyncio.create_task(job) for job in self._jobs()]
-        self._callers_server = ports.make_server(
+        self._callers_server = servers.make_server(
             callers.Callers(
                 self._parts, self._activity, headers.CallError
             ).handle
         )
-        self._callers = await ports.serve(
+        self._callers = await servers.serve(
             self._callers_server, sockets["caller_port"]
         )
-        self._ready = await ports.serve(
-            ports.make_server(self._tell_ready), sockets["ready_port"]
+        self._ready = await servers.serve(
+            servers.make_server(self._tell_ready), sockets["ready_port"]
         )
-        self._scraped = await ports.serve(
-            ports.make_server(self._tell_metrics), sockets["metrics_port"]
+        self._scraped = await servers.serve(
+            servers.make_server(self._tell_metrics), sockets["metrics_port"]
         )
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
@@ -381,34 +378,24 @@
     return value
 
 
-def _load() -> settings_module.Settings:
-    return platform_settings.load(platform_settings.path_from_environment())
-
+def run(
+    settings: settings_module.Settings,
+    load_settings: abc.Callable[[], settings_module.Settings],
+    sockets: abc.Mapping[str, socket.socket],
+) -> None:
+    """Run a router until it is told to stop.
 
-def main() -> None:
-    """Run a router with the settings that the platform provides."""
-    try:
-        settings = _load()
-    except settings_error.SettingsError as error:
-        print(error.show(), file=sys.stderr)
-        sys.exit(2)
+    :param settings: its settings.
+    :param load_settings: reads them again.
+    :param sockets: the ports that it serves, by the names of their settings.
+    """
     logs.configure(settings.router)
-    try:
-        with aiomisc.entrypoint(
-            Gateway(settings=settings, load_settings=_load),
-            log_config=False,
-            pool_size=2,
-            shutdown_timeout=settings.drain_timeout_ms / 1000 + 1,
-        ) as loop:
-            loop.run_forever()
-    except ports.PortError as error:
-        LOG.error(
-            "router can't start",
-            extra={"event": "router.not_started", "reason": str(error)},
-        )
-        print(error, file=sys.stderr)
-        sys.exit(2)
-
-
-if __name__ == "__main__":
-    main()
+    with aiomisc.entrypoint(
+        Gateway(
+            settings=settings, load_settings=load_settings, sockets=sockets
+        ),
+        log_config=False,
+        pool_size=2,
+        shutdown_timeout=settings.drain_timeout_ms / 1000 + 1,
+    ) as loop:
+        loop.run_forever()
--- a/src/bulrushdale/platform/settings.py
+++ b/src/bulrushdale/platform/settings.py
@@ -134,6 +134,15 @@
     return []
 
 
+def load_own() -> forwarding_settings.Settings:
+    """Read the settings of this process.
+
+    :raises SettingsError: if the environment names no file, or it can't be
+        read, or a field is wrong.
+    """
+    return load(path_from_environment())
+
+
 def path_from_environment() -> str:
     """Return the settings file's path.
 
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 import orjson
 
+from bulrushdale.forwarding import ports as port_module
 from bulrushdale.forwarding import settings as settings_module
 from bulrushdale import gateway
 from examples import ports
@@ -155,7 +156,9 @@
             **{"store_address": self.store_address, **changes}
         )
         router = gateway.Gateway(
-            settings=settings, load_settings=lambda: settings
+            settings=settings,
+            load_settings=lambda: settings,
+            sockets=port_module.bind(settings.host, settings.ports),
         )
         await router.start()
         self.routers.append(router)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -9,6 +9,7 @@
     *(ROOT / "src/bulrushdale/routing").glob("*.py"),
     *(ROOT / "src/bulrushdale/platform").glob("*.py"),
     ROOT / "src/bulrushdale/gateway.py",
+    ROOT / "src/bulrushdale/start.py",
 ]
 EVENT = re.compile(
     r'"((?:request|answer|configuration|target|store|link|router|log)'
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,121 @@
+"""What callers get from a router that is just starting."""
+
+import gc
+import importlib
+import logging
+import os
+import socket
+import subprocess
+import sys
+import time
+import types
+
+import pytest
+
+from bulrushdale import start
+from examples.standins import settings_file
+
+CONNECT_TIMEOUT_S = 5
+REQUEST = (
+    b"GET /x HTTP/1.1\r\nHost: example.test\r\nX-Request-Id: q1\r\n"
+    b"Connection: close\r\n\r\n"
+)
+
+
+@pytest.fixture
+def ip():
+    """A loopback address that no other run on this machine uses."""
+    return f"127.21.{os.getpid() // 250 % 250}.{1 + os.getpid() % 250}"
+
+
+@pytest.fixture
+def settings_path(tmp_path, ip):
+    """A settings file whose store nobody serves."""
+    path = tmp_path / "router.toml"
+    path.write_text(settings_file.text("r1", ip, "dc1", ip, f"{ip}:9"))
+    return path
+
+
+@pytest.fixture
+def loaded(monkeypatch, settings_path):
+    """Records what a start does instead of loading the router's modules."""
+    monkeypatch.setenv("BULRUSHDALE_CONFIG", str(settings_path))
+    found = types.SimpleNamespace(on_load=lambda: None, ran=[])
+
+    def load(name):
+        if name == "bulrushdale.forwarding.logs":
+            return types.SimpleNamespace(configure=lambda router: None)
+        assert name == "bulrushdale.gateway"
+        found.on_load()
+        return types.SimpleNamespace(run=lambda *args: found.ran.append(args))
+
+    monkeypatch.setattr(importlib, "import_module", load)
+    yield found
+    gc.unfreeze()
+    gc.enable()
+    for _, _, sockets in found.ran:
+        for sock in sockets.values():
+            sock.close()
+
+
+def test_callers_can_connect_while_the_modules_are_loaded(loaded, ip):
+    """Else they are turned away for most of a start, and most for good."""
+    connected = []
+
+    def connect():
+        address = (ip, settings_file.CALLER_PORT)
+        with socket.create_connection(address, CONNECT_TIMEOUT_S) as sock:
+            connected.append(sock.getpeername())
+
+    loaded.on_load = connect
+    start.main()
+    assert connected == [(ip, settings_file.CALLER_PORT)]
+
+
+def test_nobody_is_told_that_a_loading_router_is_ready(loaded, ip):
+    """The balancer takes a port that listens for a router that will answer."""
+
+    def connect():
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection((ip, settings_file.READY_PORT))
+
+    loaded.on_load = connect
+    start.main()
+    assert len(loaded.ran) == 1
+
+
+def test_a_taken_port_ends_the_start_with_its_name(loaded, ip, capsys, caplog):
+    with socket.socket() as sock:
+        sock.bind((ip, settings_file.READY_PORT))
+        with caplog.at_level(logging.ERROR), pytest.raises(SystemExit) as end:
+            start.main()
+    assert end.value.code == 2
+    assert f"ready_port {settings_file.READY_PORT}" in capsys.readouterr().err
+    assert [r.event for r in caplog.records] == ["router.not_started"]
+    assert not loaded.ran
+
+
+def test_a_request_that_came_during_the_start_is_answered(settings_path, ip):
+    """By the real process, as soon as it is loaded."""
+    router = subprocess.Popen(
+        [sys.executable, "-m", "bulrushdale.start"],
+        env={**os.environ, "BULRUSHDALE_CONFIG": str(settings_path)},
+        stdout=subprocess.PIPE,
+    )
+    try:
+        address = (ip, settings_file.CALLER_PORT)
+        deadline_s = time.monotonic() + CONNECT_TIMEOUT_S
+        while True:
+            try:
+                caller = socket.create_connection(address, CONNECT_TIMEOUT_S)
+                break
+            except ConnectionRefusedError:
+                assert time.monotonic() < deadline_s
+        with caller:
+            caller.sendall(REQUEST)
+            answer = caller.recv(65_536)
+    finally:
+        router.terminate()
+        output, _ = router.communicate(timeout=CONNECT_TIMEOUT_S * 2)
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b"router.started" in output
