--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -16,8 +16,8 @@
 from bulrushdale import clock as clock_module
 from bulrushdale import hashing
 from bulrushdale.routing import calls
+from bulrushdale.routing import holders
 from bulrushdale.routing import overload
-from bulrushdale.routing import overrides
 from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import placement
 from bulrushdale.routing import reports
@@ -103,7 +103,7 @@
             data_centre,
             self.targets,
             self.peers,
-            overrides.Overrides(clock),
+            holders.Holders(clock),
             clock,
             by_load,
         )
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -13,7 +13,7 @@
 from bulrushdale import clock as clock_module
 from bulrushdale.routing import calls
 from bulrushdale.routing import health
-from bulrushdale.routing import overrides as overrides_module
+from bulrushdale.routing import holders as holders_module
 from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import reports
 from bulrushdale.routing import routes
@@ -81,7 +81,7 @@
         reports.Report(COLLECTOR, "dc1", 1, 1, ROUTERS, True, 0, parts, {}, {})
     )
     return selection_module.Selection(
-        "dc1", known, peers, overrides_module.Overrides(clock), clock
+        "dc1", known, peers, holders_module.Holders(clock), clock
     )
 
 
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -30,7 +30,7 @@
 from bulrushdale.platform import registry
 from bulrushdale.platform import store as store_module
 from bulrushdale.routing import budget as budget_module
-from bulrushdale.routing import overrides as overrides_module
+from bulrushdale.routing import holders as holders_module
 from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import reports
 from bulrushdale.routing import revisions as revisions_module
@@ -168,7 +168,7 @@
                 ),
             )
         }
-        self._overrides = overrides_module.Overrides(clock)
+        self._holders = holders_module.Holders(clock)
         self._links = links_module.Links(
             self._address,
             self._peers,
@@ -197,7 +197,7 @@
                 settings.data_centre,
                 self._targets,
                 self._peers,
-                self._overrides,
+                self._holders,
                 clock,
             ),
             budget=budget_module.RetryBudget(
@@ -223,7 +223,7 @@
 
     def _learn(self, report: reports.Report) -> None:
         """Take over what another router tells besides its load."""
-        self._overrides.learn(report.places)
+        self._holders.learn(report.places)
         self._targets.learn_leaving(report.leaving)
 
     def _count_read(self, feed: str, outcome: str) -> None:
@@ -309,7 +309,7 @@
                 store_up_ms=self._feeds["targets"].up_ms(),
                 targets=self._targets.reports(),
                 members=self._peers.members(),
-                places=self._overrides.take_updates(),
+                places=self._holders.take_updates(),
                 link_mbps=self.settings.link_mbps,
                 leaving=self._targets.told_leaving(),
             )
--- a/src/bulrushdale/routing/placement.py
+++ b/src/bulrushdale/routing/placement.py
@@ -23,6 +23,9 @@
 # A prefix of so many tokens may use the whole bound; reading it takes about
 # as long as a few steps of all running requests.
 LONG_PREFIX_TOKENS = 4_000
+# Targets that start within this time of each other, as when a deployment
+# starts, are of one age; their clocks differ by less.
+TOGETHER_MS = 1_000
 # Load that a target in another data centre counts more when nothing ties a
 # request to a target: traffic between data centres is paid for.
 REMOTE_EXTRA = 0.75
@@ -78,6 +81,25 @@
     return ranking.winner([*settled, *gone] if settled else staying)
 
 
+def older_home(
+    ranking: hashing.Ranking, home: str, born_ms: abc.Mapping[str, int]
+) -> str | None:
+    """Return the target that has a prefix if its home is a newer one.
+
+    Answers to a router that starts and remembers nothing: prefixes in use
+    stay where they are when targets join, and hashing alone doesn't tell.
+
+    :param ranking: ranks all of the targets for the prefix.
+    :param home: where hashing puts it.
+    :param born_ms: when the targets started, in ms since the epoch.
+    :return: where it put the prefix before that one joined; none if that
+        one is among the oldest.
+    """
+    joined_ms = born_ms[home] - TOGETHER_MS
+    older = [name for name, born in born_ms.items() if born < joined_ms]
+    return ranking.winner(older) if older else None
+
+
 def prefix_order(
     ranking: hashing.Ranking,
     first: abc.Sequence[str],
--- a/src/bulrushdale/routing/selection.py
+++ b/src/bulrushdale/routing/selection.py
@@ -9,8 +9,8 @@
 from bulrushdale import hashing
 from bulrushdale.routing import calls
 from bulrushdale.routing import health
+from bulrushdale.routing import holders as holders_module
 from bulrushdale.routing import overload
-from bulrushdale.routing import overrides as overrides_module
 from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import placement
 from bulrushdale.routing import reports
@@ -49,7 +49,7 @@
     :param data_centre: where this router runs.
     :param targets: all targets.
     :param peers: what other routers report.
-    :param overrides: prefixes that live elsewhere than hashing puts them.
+    :param holders: where prefixes were placed before.
     :param clock: the clock.
     :param by_load: chooses for requests that no prefix ties to a target.
     """
@@ -58,7 +58,7 @@
         "_data_centre",
         "_targets",
         "_peers",
-        "_overrides",
+        "_holders",
         "_clock",
         "_by_load",
         "_work",
@@ -69,14 +69,14 @@
         data_centre: str,
         targets: targets_module.Targets,
         peers: peers_module.Peers,
-        overrides: overrides_module.Overrides,
+        holders: holders_module.Holders,
         clock: clock_module.Clock,
         by_load: ByLoad = placement.by_level,
     ) -> None:
         self._data_centre = data_centre
         self._targets = targets
         self._peers = peers
-        self._overrides = overrides
+        self._holders = holders
         self._clock = clock
         self._by_load = by_load
         self._work = overload.WorkTimes()
@@ -218,8 +218,10 @@
         hashed_to = placement.home(
             ranking, self._targets.settled(service), loads, gone
         )
-        lives_at = self._overrides.find(key)
-        first = [hashed_to] if lives_at is None else [lives_at, hashed_to]
+        holding = self._holders.holding(key)
+        first = [*holding, hashed_to]
+        if not self._holders.in_use(key):
+            first = [hashed_to]
         bound = placement.load_bound(loads.values(), call.shared_tokens)
         for fit in fits:
             order = placement.prefix_order(ranking, first, loads)
@@ -228,22 +230,37 @@
                 break
         else:
             return None
-        self._overrides.note(key, found, {hashed_to, ranking.winner(loads)})
-        cache_at = self._cache_at(
-            service, lives_at or hashed_to, found, call.shared_tokens
-        )
+        self._holders.note(key, found, {hashed_to, ranking.winner(loads)})
+        cache_at = None
+        if found not in holding and call.shared_tokens >= COPIED_TOKENS_MIN:
+            if not holding:
+                holding = self._probable(ranking, hashed_to, staying)
+            cache_at = self._cache_at(service, holding, found)
         return Choice(self._targets.known(found), cache_at)
 
+    def _probable(
+        self,
+        ranking: hashing.Ranking,
+        hashed_to: str,
+        staying: list[targets_module.Target],
+    ) -> tuple[str, ...]:
+        """Return where a prefix may be that was placed unseen, if at all."""
+        born_ms = {t.target_id: t.listing.born_ms for t in staying}
+        if hashed_to not in born_ms:
+            return (hashed_to,)
+        older = placement.older_home(ranking, hashed_to, born_ms)
+        return (hashed_to,) if older is None else (hashed_to, older)
+
     def _cache_at(
-        self, service: str, home: str, target_id: str, shared_tokens: int
+        self, service: str, holding: abc.Iterable[str], target_id: str
     ) -> targets_module.Target | None:
         """Return the target to copy a prompt's shared part from, if any."""
-        if home == target_id or shared_tokens < COPIED_TOKENS_MIN:
-            return None
-        target = self._targets.running(service, home)
-        if target is None or target.health.unreachable:
-            return None
-        return target
+        for name in holding:
+            target = self._targets.running(service, name)
+            reachable = target is not None and not target.health.unreachable
+            if reachable and name != target_id:
+                return target
+        return None
 
     def _fit(
         self, staying: list[targets_module.Target]
