--- a/src/bulrushdale/forwarding/feed.py
+++ b/src/bulrushdale/forwarding/feed.py
@@ -14,15 +14,15 @@
 # than a fleet's targets change within the life of the store's history.
 MAX_DROPPED = 2_000
 RETRY_DELAY_MS = 400
-# While the store is away for the data centre's reader too, the others leave it
-# alone for longer and longer, up to this.
+# While the store is away for the reader too, the others leave it alone for
+# longer and longer, up to this.
 MAX_PAUSE_MS = 3_000
 # Through an outage of the store itself no copy in the fleet is confirmed; one
 # that is younger than this was confirmed by a peer, and the store was there.
 OUTAGE_AGE_MS = 2_500
 
-# A copy that the data centre's reader gives must not be older; its own reads
-# are this often or more, and an older one shows that it is cut off.
+# A copy that the reader gives must not be older; its own reads are this often
+# or more, and an older one shows that it is cut off.
 READER_AGE_MS = 1_000
 
 Apply = abc.Callable[[str, bytes | None], None]
@@ -81,7 +81,7 @@
         "_apply",
         "_confirm",
         "_meaning",
-        "_changed",
+        "_news",
         "_clock",
         "_records",
         "_drops_from",
@@ -105,7 +105,7 @@
         self._apply = apply
         self._confirm = confirm
         self._meaning = meaning
-        self._changed = asyncio.Event()
+        self._news = asyncio.Event()
         self._count_read = count_read
         self._clock = clock
         self._records: dict[str, records.KeyedRecord] = {}
@@ -135,6 +135,7 @@
         ):
             self.confirmed_ms = as_of_ms
             self._confirm(as_of_ms)
+            self._tell_waiting()
 
     def _put(self, record: records.KeyedRecord) -> None:
         known = self._records.get(record.key)
@@ -147,8 +148,7 @@
         self._apply(record.key, record.value)
         if record.value is None:
             self._forget_dropped()
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._tell_waiting()
 
     def _says_the_same(
         self, known: records.KeyedRecord, record: records.KeyedRecord
@@ -161,23 +161,34 @@
             record.key, record.value
         )
 
-    async def wait_for_records(self, offset: int, wait_ms: float) -> None:
+    async def wait_for_news(self, offset: int, wait_ms: float) -> None:
         """Return once there is a record from an offset on, or time is up.
 
+        Also once the copy is known to be up to date as of now: a peer that
+        reads through this router learns it without delay.
+
         :param offset: where a peer would read on.
         :param wait_ms: the longest wait, in ms.
         """
-        changed = self._changed
-        if offset < self._drops_from or any(
-            r.offset >= offset for r in self._records.values()
-        ):
-            return
+        asked_ms = self._clock.boot_ms()
         try:
             async with asyncio.timeout(wait_ms / 1000):
-                await changed.wait()
+                while not self._has_news(offset, asked_ms):
+                    await self._news.wait()
         except TimeoutError:
             return
 
+    def _has_news(self, offset: int, since_ms: int) -> bool:
+        if self.confirmed_ms is not None and self.confirmed_ms >= since_ms:
+            return True
+        return offset < self._drops_from or any(
+            r.offset >= offset for r in self._records.values()
+        )
+
+    def _tell_waiting(self) -> None:
+        self._news.set()
+        self._news = asyncio.Event()
+
     def _drop_missing(self, page: records.Page) -> None:
         """Drop the keys that a snapshot doesn't hold any more."""
         held = {record.key for record in page.records}
@@ -270,8 +281,8 @@
     """Where a feed's records are read.
 
     :param store: reads from an offset on, or everything for none.
-    :param reader: reads from the router that reads the store for this data
-        centre; none while that is this router.
+    :param reader: reads from the router that reads for this one; none while
+        this one reads the store.
     :param peers: reads from any routers that can be reached.
     """
 
--- a/src/bulrushdale/forwarding/links.py
+++ b/src/bulrushdale/forwarding/links.py
@@ -30,7 +30,7 @@
 PEER_TIMEOUT_MS = 500
 # Peers asked for records before the store is asked again.
 PEERS_ASKED = 3
-# A read from the collector returns with new records, or after this.
+# A read from the reader returns with news, or after this.
 READER_WAIT_MS = 700
 MAX_WAIT_MS = 5_000
 # A peer's answer: a configuration of 4 MB, the most that operators may
@@ -220,7 +220,7 @@
         wait_ms = _count(request.query.get("wait_ms"))
         asked_ms = self._clock.boot_ms()
         if offset is not None and wait_ms:
-            await feed.wait_for_records(offset, min(wait_ms, MAX_WAIT_MS))
+            await feed.wait_for_news(offset, min(wait_ms, MAX_WAIT_MS))
         page = feed.since(offset)
         age_ms = feed.age_ms()
         if page is None or age_ms is None:
@@ -256,20 +256,20 @@
             self._packed[name] = (record.offset, packed)
         return packed
 
-    async def read_collector(
+    async def read_reader(
         self, feed: feed_module.Feed
     ) -> feed_module.Reading | None:
-        """Read a feed's new records from this data centre's collector.
+        """Read a feed's new records from the router that reads for this one.
 
         :param feed: the feed.
-        :return: none if this router is the collector, or it gives nothing.
+        :return: none if this one reads the store, or it gives nothing.
         """
-        collector = self._peers.collector()
-        if collector is None:
+        reader = self._peers.reader()
+        if reader is None:
             return None
-        reading = await self._read(feed, collector, READER_WAIT_MS)
+        reading = await self._read(feed, reader, READER_WAIT_MS)
         if reading is None:
-            self._peers.pass_over(collector)
+            self._peers.pass_over(reader)
         return reading
 
     async def read_peers(
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -278,7 +278,7 @@
             self._feeds[name],
             feed_module.Sources(
                 self._store.reader(topic, wait_ms, self._clock),
-                self._links.read_collector,
+                self._links.read_reader,
                 self._links.read_peers,
             ),
             interval_ms,
--- a/src/bulrushdale/routing/peers.py
+++ b/src/bulrushdale/routing/peers.py
@@ -55,6 +55,8 @@
 # least this part of the greatest: they send to all others there, and a
 # configuration of some 100 KB would fill a small link for seconds.
 LINK_SHARE = 0.5
+# Ranks the collectors as the fleet's reader of the store.
+READER_KEY = 0
 
 
 def _sums_interval_ms(targets: int) -> int:
@@ -231,6 +233,32 @@
         found = self._collector(self._data_centre)
         return None if found == self._own_address else found
 
+    def reader(self) -> str | None:
+        """Return the router to read records from.
+
+        One router of the fleet reads the store. The other data centres'
+        collectors read there, and each collector's routers read from it.
+
+        :return: none if this router is the one that reads the store.
+        """
+        collector = self.collector()
+        if collector is not None:
+            return collector
+        centres = {peer.data_centre for peer in self._peers.values()}
+        collectors = {self._own_address}
+        for data_centre in centres - {self._data_centre, ""}:
+            found = self._collector(data_centre)
+            if found is not None and self._is_heard(found):
+                collectors.add(found)
+        reader = hashing.winner(READER_KEY, collectors)
+        return None if reader == self._own_address else reader
+
+    def _is_heard(self, address: str) -> bool:
+        """Return whether a router told something just now."""
+        heard_ms = self._peers[address].heard_ms
+        oldest_ms = self._clock.now_ms() - SILENT_MS
+        return heard_ms is not None and heard_ms >= oldest_ms
+
     def pass_over(self, address: str) -> None:
         """Note that a router did not answer."""
         peer = self._peers.get(address)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -68,7 +68,7 @@
     behind.take(page(record(0, "a"), record(1, "b")), 1)
     started.take(page(record(1, "b"), next_offset=9, snapshot=True), 2)
     async with asyncio.timeout(1):
-        await started.wait_for_records(2, 5_000)
+        await started.wait_for_news(2, 5_000)
     applied.clear()
     behind.take(started.since(behind.next_offset), 3)
     assert applied == [("a", None)]
@@ -117,16 +117,38 @@
     )
 
 
-async def test_peers_wait_for_records(make_feed):
+async def test_peers_wait_for_news(make_feed):
     feed = make_feed()
     feed.take(page(record(0)), 1)
-    waiting = asyncio.ensure_future(feed.wait_for_records(1, 5_000))
+    waiting = asyncio.ensure_future(feed.wait_for_news(1, 5_000))
     await asyncio.sleep(0)
     feed.take(page(record(1, value=b"other")), 2)
     async with asyncio.timeout(1):
         await waiting
 
 
+async def test_peers_learn_at_once_that_a_copy_is_up_to_date(make_feed):
+    """Through two routers keys would else be seconds old."""
+    clock = clock_module.Clock()
+    feed = make_feed(clock)
+    feed.take(page(record(0)), clock.boot_ms())
+    await asyncio.sleep(0.002)
+    waiting = asyncio.ensure_future(feed.wait_for_news(1, 5_000))
+    await asyncio.sleep(0.002)
+    feed.take(page(next_offset=1), clock.boot_ms())
+    async with asyncio.timeout(1):
+        await waiting
+
+
+async def test_news_from_before_is_none(make_feed):
+    clock = clock_module.Clock()
+    feed = make_feed(clock)
+    feed.take(page(record(0)), clock.boot_ms() - 10)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.05):
+            await feed.wait_for_news(1, 5_000)
+
+
 class Reads:
     """Sources that a test switches on and off."""
 
@@ -175,14 +197,14 @@
     return feed, reads
 
 
-async def test_store_is_spared_while_the_collector_is_up_to_date(make_feed):
+async def test_store_is_spared_while_the_reader_is_up_to_date(make_feed):
     feed, reads = await run(make_feed)
     assert set(reads.calls) == {"reader"}
     assert feed.age_ms() < 100
 
 
 @pytest.mark.parametrize("age_ms", [None, feed_module.READER_AGE_MS + 500])
-async def test_store_is_read_when_the_collector_is_no_use(make_feed, age_ms):
+async def test_store_is_read_when_the_reader_is_no_use(make_feed, age_ms):
     feed, reads = await run(make_feed, reader_age_ms=age_ms)
     assert "store" in reads.calls
     assert feed.age_ms() < 100
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -363,6 +363,38 @@
     assert fleet.seen() == {90}
 
 
+def readers(fleet):
+    return {
+        address
+        for address, peers in fleet.peers.items()
+        if peers.reader() is None and address not in fleet.down
+    }
+
+
+def test_one_router_of_the_fleet_reads_the_store(clock):
+    """Each call to it is paid for, however many data centres there are."""
+    fleet = Fleet(clock, 3, 30)
+    for _ in range(4):
+        fleet.step()
+    assert len(readers(fleet)) == 1
+    fleet.down = readers(fleet)
+    for _ in range(CHANGE_STEPS):
+        fleet.step()
+    assert len(readers(fleet)) == 1
+
+
+def test_data_centre_that_is_cut_off_reads_for_itself(clock):
+    fleet = Fleet(clock, 3, 30)
+    for _ in range(4):
+        fleet.step()
+    fleet.cut = {"dc0"}
+    for _ in range(CHANGE_STEPS):
+        fleet.step()
+    found = [fleet.centres[address] for address in readers(fleet)]
+    assert len(found) == 2
+    assert found.count("dc0") == 1
+
+
 def test_collector_has_one_of_the_greatest_links(clock):
     """It passes each configuration on to all others in its data centre."""
     links_mbps = {f"10.0.0.{n}:7": mbps for n, mbps in enumerate(LINKS_MBPS)}
