Find dark targets within a stream's longest pause, and avoid suspects

Now silence is judged by the pauses that the stream had, the second try to connect runs beside the first, a target gets nothing while a check doesn't answer at once, and runs at targets that can't be reached don't count. Tried besides: after a silence, targets that were heard since come first.

--- a/src/bulrushdale/forwarding/probes.py
+++ b/src/bulrushdale/forwarding/probes.py
@@ -12,16 +12,16 @@
 import logging
 
 from bulrushdale import clock as clock_module
+from bulrushdale.routing import rhythm
 from bulrushdale.routing import targets as targets_module
 
 LOG = logging.getLogger(__name__)
 
-# Most answers begin, and all streams go on, within this time.
-SILENCE_MS = 250
-# A connection opens within a round trip, some ms inside a region; two tries
-# tell a lost packet from a cut.
-CHECK_TIMEOUT_MS = 120
-CHECK_TRIES = 2
+# A connection opens within a round trip, 24 ms between regions. One that
+# takes longer is tried again beside the first, as a packet may be lost...
+CHECK_AGAIN_MS = 40
+# ...and given up after this.
+CHECK_TIMEOUT_MS = 100
 # A wait that couldn't be left, as no retry was left, asks again this often;
 # the window of retries moves on by tenths of its ten seconds.
 ASK_INTERVAL_MS = 250
@@ -54,6 +54,7 @@
         patience_ms: float | None = None,
         may_leave: abc.Callable[[], bool] = lambda: False,
         begun: bool = False,
+        silence_ms: float = rhythm.MAX_SILENCE_MS,
     ) -> abc.AsyncIterator[None]:
         """Limit a wait for a target, and check the target if it is silent.
 
@@ -66,6 +67,7 @@
         :param begun: whether the target has begun its answer. Then only
             silence shows that it is cut off: what can't be connected to
             may still go on with its work.
+        :param silence_ms: when to check the target, in ms.
         :raises TimeoutError: if the wait is over.
         """
         loop = asyncio.get_running_loop()
@@ -82,7 +84,7 @@
             else:
                 self.suspect(target)
 
-        silence = loop.call_later(SILENCE_MS / 1000, note_silent)
+        silence = loop.call_later(silence_ms / 1000, note_silent)
         try:
             async with limit:
                 if not begun:
@@ -137,11 +139,21 @@
                 self.suspect(neighbour)
 
     async def _check(self, target: targets_module.Target) -> None:
-        for _ in range(CHECK_TRIES):
-            if await _connects(target.address):
-                self._note_reachable(target)
-                return
-        self.note_unreachable(target)
+        tries = [asyncio.create_task(_connects(target.address))]
+        await asyncio.wait(tries, timeout=CHECK_AGAIN_MS / 1000)
+        try:
+            if not (tries[0].done() and tries[0].result()):
+                target.health.suspected = True
+                tries.append(asyncio.create_task(_connects(target.address)))
+            for attempt in asyncio.as_completed(tries):
+                if await attempt:
+                    self._note_reachable(target)
+                    return
+            self.note_unreachable(target)
+        finally:
+            target.health.suspected = False
+            for attempt in tries:
+                attempt.cancel()
 
     def _note_reachable(self, target: targets_module.Target) -> None:
         if not target.health.unreachable:
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -15,6 +15,7 @@
 from bulrushdale.routing import calls
 from bulrushdale.routing import overload
 from bulrushdale.routing import refusals
+from bulrushdale.routing import rhythm as rhythm_module
 from bulrushdale.routing import routes
 from bulrushdale.routing import selection as selection_module
 from bulrushdale.routing import targets as targets_module
@@ -48,7 +49,7 @@
         "_service",
         "_tried",
         "_offers",
-        "_runs",
+        "_ran_at",
         "_retry_taken",
         "_sent_ms",
         "_slot_free",
@@ -79,7 +80,7 @@
         self._service = admitted.route.service_for(call.request_id) or ""
         self._tried: set[str] = set()
         self._offers = 0
-        self._runs = 0
+        self._ran_at: list[targets_module.Target] = []
         self._retry_taken = False
         self._sent_ms = received_ms
         self._slot_free = False
@@ -172,7 +173,7 @@
         if self._response is not None:
             self._account.log("request.cut", detail=detail)
             return ConnectionResetError(detail)
-        if self._runs:
+        if self._ran_at:
             late = self._left_ms() <= 0
             return refusals.refuse(
                 results.Code.ANSWER_LATE
@@ -190,7 +191,13 @@
         )
 
     def _may_run_again(self) -> bool:
-        return self._route.repeatable and self._runs < self._route.max_attempts
+        """Whether the request may run at one more target.
+
+        Those that can't be reached any more don't count: what they do with
+        it goes nowhere.
+        """
+        counted = sum(1 for t in self._ran_at if not t.health.unreachable)
+        return self._route.repeatable and counted < self._route.max_attempts
 
     def _take_retry(self) -> bool:
         """Reserve a retry for the next target, if the budget has one."""
@@ -224,7 +231,7 @@
         :return: the final answer; none if another target is to be tried.
         """
         left_ms = self._left_ms()
-        self._runs += 1
+        self._ran_at.append(target)
         self._sent_ms = self._parts.clock.now_ms()
         target.note_sent()
         self._slot_free = self._parts.selection.has_free_slot(target)
@@ -241,7 +248,7 @@
             ),
         )
         if isinstance(outcome, attempt.NotRun):
-            self._runs -= 1
+            self._ran_at.pop()
             self._note_not_run(target, outcome)
             return None
         if isinstance(outcome, attempt.Unknown):
@@ -261,12 +268,14 @@
         target: targets_module.Target,
         patience_ms: float | None = None,
         begun: bool = True,
+        silence_ms: float = rhythm_module.MAX_SILENCE_MS,
     ) -> attempt.Wait:
         """Limit a wait for a target; shorter if it may be left meanwhile.
 
         :param target: the target.
         :param patience_ms: when to leave it, in ms.
         :param begun: whether it has begun its answer.
+        :param silence_ms: when to check whether it is there, in ms.
         """
         return self._parts.prober.watch(
             target,
@@ -274,6 +283,7 @@
             patience_ms,
             self._may_leave,
             begun,
+            silence_ms,
         )
 
     def _session(self) -> aiohttp.ClientSession:
@@ -439,12 +449,15 @@
         # Bytes that complete no event, and comments, don't count: a stalled
         # target may send one now and then.
         event_ms = clock.now_ms()
+        rhythm = rhythm_module.Rhythm()
         while True:
             patience_ms = timeouts.patience_for_event_ms(
                 self._route, clock.now_ms() - event_ms
             )
             try:
-                async with self._wait(target, patience_ms):
+                async with self._wait(
+                    target, patience_ms, silence_ms=rhythm.silence_ms()
+                ):
                     data = await content.readany()
             except TimeoutError:
                 return "no event in time"
@@ -455,6 +468,7 @@
                 response = await self._begun(opened.head)
                 await response.write(found.data)
             if found.count:
+                rhythm.note(clock.now_ms() - event_ms)
                 event_ms = clock.now_ms()
                 self._account.event()
             if found.fault is not None:
--- a/src/bulrushdale/routing/health.py
+++ b/src/bulrushdale/routing/health.py
@@ -50,9 +50,16 @@
     :param clock: the clock.
 
     :ivar unreachable: whether the last connection could not be opened.
+    :ivar suspected: whether it is being checked and hasn't answered at once.
     """
 
-    __slots__ = ("_clock", "_results", "_ejected_until_ms", "unreachable")
+    __slots__ = (
+        "_clock",
+        "_results",
+        "_ejected_until_ms",
+        "unreachable",
+        "suspected",
+    )
 
     def __init__(self, clock: clock_module.Clock) -> None:
         self._clock = clock
@@ -61,6 +68,7 @@
         )
         self._ejected_until_ms = 0
         self.unreachable = False
+        self.suspected = False
 
     def note(self, failed: bool) -> None:
         """Count one result."""
--- a/src/bulrushdale/routing/selection.py
+++ b/src/bulrushdale/routing/selection.py
@@ -131,7 +131,8 @@
     ) -> list[abc.Callable[[str], bool]]:
         """Return what targets must meet, by what must be at least.
 
-        Those set aside for failures are better than none. Each is judged
+        Those set aside for failures, and those that may be cut off, are
+        better than none. Each is judged
         when it comes into question, as few of them do for a request.
         """
 
@@ -148,7 +149,7 @@
                 return False
             target = self._targets.known(target_id)
             self._judge(target, service)
-            return not target.health.ejected
+            return not (target.health.ejected or target.health.suspected)
 
         return [well, reachable, *([may_get_it] if unreachable_too else [])]
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -671,6 +671,32 @@
     assert body == b"".join(scripted_target.event(n) for n in range(5))
 
 
+async def test_stream_goes_on_when_two_targets_are_cut_off(caller):
+    """What a target does that nobody reaches is no second attempt.
+
+    The route allows two; the stream breaks off at both targets that it is
+    sent to before they turn out to be unreachable.
+    """
+    async with gateway_fixtures.started("t1", "t2", "t3") as deployment:
+        targets = deployment.routers[0]._parts.targets
+        seen = []
+
+        async def cut_off(request, writer):
+            if len(seen) == 2:
+                return await gateway_fixtures.respond(request, writer)
+            seen.append(request.headers["x-expect-instance"])
+            targets.known(seen[-1]).health.unreachable = True
+            return await cut_within_event(request, writer)
+
+        everyone(deployment, cut_off)
+        async with caller.post(
+            deployment.url("/plan/x"), headers=headers()
+        ) as response:
+            body = await response.read()
+    assert len(seen) == 2
+    assert body == b"".join(scripted_target.event(n) for n in range(5))
+
+
 async def test_a_taken_port_shows_before_others_learn_of_the_router():
     """Else peers would count on a router that never served."""
     deployment = gateway_fixtures.Deployment()
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -6,6 +6,7 @@
 
 from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import probes
+from bulrushdale.routing import rhythm
 from bulrushdale.routing import targets as targets_module
 from examples.standins import scripted_target
 
@@ -49,7 +50,7 @@
 ):
     slow = add(targets, "t1", target.address)
     async with prober.watch(slow, 5_000, may_leave=lambda: True):
-        await asyncio.sleep(probes.SILENCE_MS / 1000 + 0.2)
+        await asyncio.sleep(rhythm.MAX_SILENCE_MS / 1000 + 0.2)
     assert not slow.health.unreachable
 
 
@@ -88,7 +89,7 @@
     with pytest.raises(TimeoutError):
         await silent
     spent_s = asyncio.get_running_loop().time() - started
-    assert probes.SILENCE_MS / 1000 <= spent_s < 1
+    assert rhythm.MAX_SILENCE_MS / 1000 <= spent_s < 1
 
 
 async def test_wait_for_what_may_not_be_repeated_goes_on(
@@ -97,10 +98,79 @@
     gone = add(targets, "t1", target.address)
     await target.stop()
     async with prober.watch(gone, 5_000):
-        await asyncio.sleep(probes.SILENCE_MS / 1000 + 0.2)
+        await asyncio.sleep(rhythm.MAX_SILENCE_MS / 1000 + 0.2)
     assert gone.health.unreachable
 
 
+@pytest.fixture
+def dark(monkeypatch):
+    """Connections to anywhere stay without an answer."""
+
+    async def connect(_):
+        await asyncio.sleep(probes.CHECK_TIMEOUT_MS / 1000)
+        return False
+
+    monkeypatch.setattr(probes, "_connects", connect)
+
+
+async def test_dark_target_is_found_within_its_streams_longest_pause(
+    targets, prober, dark
+):
+    """A steady stream is checked after 100 ms; 400 ms are a usual limit."""
+    gone = add(targets, "t1", "127.0.0.1:1")
+    started = asyncio.get_running_loop().time()
+    with pytest.raises(TimeoutError):
+        async with prober.watch(
+            gone,
+            5_000,
+            may_leave=lambda: True,
+            begun=True,
+            silence_ms=rhythm.MIN_SILENCE_MS,
+        ):
+            await asyncio.sleep(5)
+    assert asyncio.get_running_loop().time() - started < 0.3
+
+
+async def test_target_that_may_be_dark_is_suspected_meanwhile(
+    targets, prober, dark
+):
+    suspect = add(targets, "t1", "127.0.0.1:1")
+    prober.suspect(suspect)
+    await asyncio.sleep(probes.CHECK_AGAIN_MS / 1000 + 0.02)
+    assert suspect.health.suspected
+    assert not suspect.health.unreachable
+    await settle(prober)
+    assert not suspect.health.suspected
+    assert suspect.health.unreachable
+
+
+async def test_second_try_clears_a_target_whose_packet_was_lost(
+    targets, prober, monkeypatch
+):
+    answers = [10, 0]
+
+    async def connect(_):
+        await asyncio.sleep(answers.pop(0))
+        return True
+
+    monkeypatch.setattr(probes, "_connects", connect)
+    there = add(targets, "t1", "127.0.0.1:1")
+    prober.suspect(there)
+    async with asyncio.timeout(1):
+        await settle(prober)
+    assert not there.health.unreachable
+    assert not answers
+
+
+async def test_target_that_answers_at_once_is_never_suspected(
+    targets, prober, target
+):
+    there = add(targets, "t1", target.address)
+    prober.suspect(there)
+    await settle(prober)
+    assert not there.health.suspected
+
+
 async def test_neighbours_of_an_unreachable_target_are_checked(
     targets, prober, target
 ):
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -131,6 +131,16 @@
     assert choice.cache_at is None
 
 
+def test_target_that_may_be_cut_off_gets_nothing_while_it_is_checked(fleet):
+    home = fleet.home()
+    home.health.suspected = True
+    assert fleet.home() is not home
+    home.health.suspected = False
+    for target in fleet.targets.all():
+        target.health.suspected = True
+    assert fleet.place() is not None
+
+
 def test_prefix_is_copied_from_any_target_that_held_it(fleet):
     """The last one crashed; the one before has it still."""
     home = fleet.home()
