First copies come from other routers; a busy router judges no target

Such a check is repeated now, and a request that could not connect in time starts a check, no verdict.

--- a/examples/standins/store.py
+++ b/examples/standins/store.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import collections
 import contextlib
 import time
 import typing
@@ -58,6 +59,7 @@
     """Keeps topics in memory.
 
     :ivar calls: how many calls were made.
+    :ivar snapshots: by topic, how often its newest records were read.
     :ivar delays_s: by topic, how long its newest records take, in s.
     """
 
@@ -73,6 +75,7 @@
         self.old_replica = 0
         self.retention_ms = RETENTION_MS
         self.calls = 0
+        self.snapshots: collections.Counter[str] = collections.Counter()
         self.delays_s: dict[str, float] = {}
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
@@ -136,6 +139,7 @@
 
     async def _read_newest(self, request: web.Request) -> web.Response:
         name = request.query["topic"]
+        self.snapshots[name] += 1
         await asyncio.sleep(self.delays_s.get(name, 0))
         items = [
             {
--- a/src/bulrushdale/forwarding/attempt.py
+++ b/src/bulrushdale/forwarding/attempt.py
@@ -20,12 +20,14 @@
     :param reason: why, for logs.
     :param sent: whether the request reached the target.
     :param moved: whether another target has the address.
+    :param silent: whether nothing came back, not even a refusal.
     :param head: what it answered; none if it didn't.
     """
 
     reason: str
     sent: bool
     moved: bool = False
+    silent: bool = False
     head: calls.AnswerHead | None = None
 
 
@@ -105,7 +107,7 @@
     except aiohttp.ClientConnectorError as error:
         return NotRun(f"no connection: {describe(error)}", sent=False)
     except aiohttp.ConnectionTimeoutError:
-        return NotRun("connecting timed out", sent=False)
+        return NotRun("connecting timed out", sent=False, silent=True)
     except TimeoutError:
         return Unknown("no answer in time")
     except _LOST as error:
--- a/src/bulrushdale/forwarding/feed.py
+++ b/src/bulrushdale/forwarding/feed.py
@@ -161,13 +161,13 @@
             record.key, record.value
         )
 
-    async def wait_for_news(self, offset: int, wait_ms: float) -> None:
+    async def wait_for_news(self, offset: int | None, wait_ms: float) -> None:
         """Return once there is a record from an offset on, or time is up.
 
         Also once the copy is known to be up to date as of now: a peer that
         reads through this router learns it without delay.
 
-        :param offset: where a peer would read on.
+        :param offset: where a peer would read on; none if any copy is news.
         :param wait_ms: the longest wait, in ms.
         """
         asked_ms = self._clock.boot_ms()
@@ -178,7 +178,9 @@
         except TimeoutError:
             return
 
-    def _has_news(self, offset: int, since_ms: int) -> bool:
+    def _has_news(self, offset: int | None, since_ms: int) -> bool:
+        if offset is None:
+            return self.next_offset is not None
         if self.confirmed_ms is not None and self.confirmed_ms >= since_ms:
             return True
         return offset < self._drops_from or any(
@@ -280,12 +282,15 @@
 class Sources:
     """Where a feed's records are read.
 
+    :param first: reads a first copy from some other router. It comes
+        compressed, which the store doesn't do, and costs no call.
     :param store: reads from an offset on, or everything for none.
     :param reader: reads from the router that reads for this one; none while
         this one reads the store.
     :param peers: reads from any routers that can be reached.
     """
 
+    first: abc.Callable[[Feed], abc.Awaitable[Reading | None]]
     store: abc.Callable[[int | None], abc.Awaitable[Reading]]
     reader: abc.Callable[[Feed], abc.Awaitable[Reading | None]]
     peers: abc.Callable[[Feed], abc.Awaitable[Reading | None]]
@@ -315,6 +320,9 @@
 
     pause_ms = RETRY_DELAY_MS
     spared_until_ms = 0
+    reading = await sources.first(feed)
+    if reading is not None:
+        take(reading)
     while True:
         reading = await sources.reader(feed)
         if reading is not None:
--- a/src/bulrushdale/forwarding/links.py
+++ b/src/bulrushdale/forwarding/links.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 from collections import abc
+import contextlib
 import logging
 import random
 import typing
@@ -28,6 +29,10 @@
 LOG = logging.getLogger(__name__)
 
 PEER_TIMEOUT_MS = 500
+# Routers asked for a first copy, one after another...
+FIRST_ASKED = 6
+# ...at this distance. One that lives begins its answer within some ms.
+ASK_NEXT_MS = 60
 # Peers asked for records before the store is asked again.
 PEERS_ASKED = 3
 # A read from the reader returns with news, or after this.
@@ -219,7 +224,7 @@
         offset = _count(request.query.get("from"))
         wait_ms = _count(request.query.get("wait_ms"))
         asked_ms = self._clock.boot_ms()
-        if offset is not None and wait_ms:
+        if wait_ms:
             await feed.wait_for_news(offset, min(wait_ms, MAX_WAIT_MS))
         page = feed.since(offset)
         age_ms = feed.age_ms()
@@ -256,6 +261,35 @@
             self._packed[name] = (record.offset, packed)
         return packed
 
+    async def read_first(
+        self, feed: feed_module.Feed
+    ) -> feed_module.Reading | None:
+        """Read a first copy of a feed from some other router.
+
+        Many may have stopped together, so another one is asked as well
+        whenever those asked before are not quick to answer.
+
+        :param feed: the feed.
+        :return: none if nobody gives one soon.
+        """
+        found: asyncio.Queue[feed_module.Reading | None] = asyncio.Queue()
+
+        async def ask(address: str) -> None:
+            await found.put(await self._read(feed, address, READER_WAIT_MS))
+
+        asked: list[asyncio.Task[None]] = []
+        try:
+            for address in self._peers.first_readers(FIRST_ASKED):
+                asked.append(asyncio.create_task(ask(address)))
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(ASK_NEXT_MS / 1000):
+                        if (reading := await found.get()) is not None:
+                            return reading
+            return None
+        finally:
+            for task in asked:
+                task.cancel()
+
     async def read_reader(
         self, feed: feed_module.Feed
     ) -> feed_module.Reading | None:
@@ -303,9 +337,9 @@
         self, feed: feed_module.Feed, address: str, wait_ms: int
     ) -> feed_module.Reading | None:
         asked_ms = self._clock.boot_ms()
-        query = {}
+        query = {"wait_ms": str(wait_ms)}
         if feed.next_offset is not None:
-            query = {"from": str(feed.next_offset), "wait_ms": str(wait_ms)}
+            query["from"] = str(feed.next_offset)
         timeout = aiohttp.ClientTimeout(
             total=(PEER_TIMEOUT_MS + wait_ms) / 1000,
             sock_connect=connections.CONNECT_TIMEOUT_MS / 1000,
--- a/src/bulrushdale/forwarding/probes.py
+++ b/src/bulrushdale/forwarding/probes.py
@@ -22,6 +22,9 @@
 CHECK_AGAIN_MS = 40
 # ...and given up after this.
 CHECK_TIMEOUT_MS = 100
+# A check that ends so much later than it should tells that this router is
+# busy, and may have connected without noticing.
+LATE_MS = 20
 # A wait that couldn't be left, as no retry was left, asks again this often;
 # the window of retries moves on by tenths of its ten seconds.
 ASK_INTERVAL_MS = 250
@@ -109,17 +112,23 @@
         if not waits:
             self._waits.pop(target.target_id, None)
 
-    def suspect(self, target: targets_module.Target) -> None:
-        """Check a target, unless a check is under way."""
+    def suspect(
+        self, target: targets_module.Target, doubted: bool = False
+    ) -> None:
+        """Check a target, unless a check is under way.
+
+        :param target: the target.
+        :param doubted: whether it gets nothing until it answers.
+        """
         if target.target_id not in self._checks:
-            check = asyncio.ensure_future(self._check(target))
+            check = asyncio.ensure_future(self._check(target, doubted))
             self._checks[target.target_id] = check
             check.add_done_callback(
                 lambda _: self._checks.pop(target.target_id, None)
             )
 
     def note_unreachable(self, target: targets_module.Target) -> None:
-        """Note that a connection could not be opened."""
+        """Note that a target refuses connections, or doesn't answer them."""
         if target.health.unreachable:
             return
         target.health.unreachable = True
@@ -138,20 +147,46 @@
             if near and not neighbour.health.unreachable:
                 self.suspect(neighbour)
 
-    async def _check(self, target: targets_module.Target) -> None:
-        tries = [asyncio.create_task(_connects(target.address))]
-        await asyncio.wait(tries, timeout=CHECK_AGAIN_MS / 1000)
+    async def _check(
+        self, target: targets_module.Target, doubted: bool
+    ) -> None:
+        target.health.suspected = doubted
         try:
-            if not (tries[0].done() and tries[0].result()):
-                target.health.suspected = True
-                tries.append(asyncio.create_task(_connects(target.address)))
-            for attempt in asyncio.as_completed(tries):
-                if await attempt:
-                    self._note_reachable(target)
-                    return
-            self.note_unreachable(target)
+            while (found := await self._reach(target)) is None:
+                LOG.info(
+                    "check came late",
+                    extra={
+                        "event": "target.unchecked",
+                        "target": target.target_id,
+                    },
+                )
         finally:
             target.health.suspected = False
+        if found:
+            self._note_reachable(target)
+        else:
+            self.note_unreachable(target)
+
+    async def _reach(self, target: targets_module.Target) -> bool | None:
+        """Return whether a target can be connected to.
+
+        None if this router was too busy to tell.
+        """
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        tries = {asyncio.create_task(_connects(target.address))}
+        try:
+            if await _any_connected(tries, CHECK_AGAIN_MS):
+                return True
+            target.health.suspected = True
+            tries.add(asyncio.create_task(_connects(target.address)))
+            if await _any_connected(tries, CHECK_TIMEOUT_MS):
+                return True
+            refused = all(attempt.done() for attempt in tries)
+            took_ms = (loop.time() - begun_s) * 1000
+            late_ms = took_ms - CHECK_AGAIN_MS - CHECK_TIMEOUT_MS
+            return None if late_ms > LATE_MS and not refused else False
+        finally:
             for attempt in tries:
                 attempt.cancel()
 
@@ -199,12 +234,29 @@
             timer.cancel()
 
 
+async def _any_connected(
+    tries: set[asyncio.Task[bool]], timeout_ms: float
+) -> bool:
+    """Return whether one of some tries has connected in time."""
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + timeout_ms / 1000
+    waiting = {attempt for attempt in tries if not attempt.done()}
+    while waiting and loop.time() < deadline_s:
+        done, waiting = await asyncio.wait(
+            waiting,
+            timeout=deadline_s - loop.time(),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if any(attempt.result() for attempt in done):
+            return True
+    return False
+
+
 async def _connects(address: str) -> bool:
     host, _, port = address.rpartition(":")
     try:
-        async with asyncio.timeout(CHECK_TIMEOUT_MS / 1000):
-            _, writer = await asyncio.open_connection(host, int(port))
-    except (OSError, TimeoutError):
+        _, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
         return False
     writer.close()
     return True
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -183,12 +183,13 @@
             )
         if self._left_ms() < timeouts.MIN_LEFT_MS:
             return refusals.refuse(results.Code.DEADLINE_PASSED, detail)
-        rest_ms = self._parts.selection.rest_left_ms(self._service)
-        return refusals.refuse(
-            results.Code.NO_TARGET,
-            detail,
-            max(rest_ms, refusals.RETURN_AFTER_MS),
+        selection = self._parts.selection
+        after_ms = max(
+            selection.rest_left_ms(self._service), refusals.RETURN_AFTER_MS
         )
+        if selection.is_cut_off(self._service):
+            after_ms = refusals.ELSEWHERE_AFTER_MS
+        return refusals.refuse(results.Code.NO_TARGET, detail, after_ms)
 
     def _may_run_again(self) -> bool:
         """Whether the request may run at one more target.
@@ -319,6 +320,8 @@
         self._account.attempt("rejected" if outcome.sent else "unreachable")
         if outcome.sent:
             self._offers += 1
+        elif outcome.silent:
+            self._parts.prober.suspect(target, doubted=True)
         else:
             self._parts.prober.note_unreachable(target)
         if outcome.moved:
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -50,6 +50,9 @@
 # cost a read for each.
 TARGETS_INTERVAL_MS = 600
 EXPIRE_INTERVAL_MS = 250
+# The store tells of the other routers within some 20 ms; they give a copy of
+# what this one lacks. Without them it reads the store for itself.
+FIND_ROUTERS_MS = 100
 # The callers that a start kept waiting come first; they are served within
 # some seconds. What is counted meanwhile is kept one by one.
 EXPORTER_DELAY_MS = 8_000
@@ -178,6 +181,7 @@
             clock,
         )
         self._prober = probes.Prober(self._targets, clock)
+        self._introduced = asyncio.Event()
         self._sequence = 0
         self._started_ms = clock.wall_ms()
         self._parts = parts_module.Parts(
@@ -258,6 +262,7 @@
                 ),
                 self._peers,
                 self._clock,
+                self._introduced.set,
             ),
             self._every(peers_module.REPORT_INTERVAL_MS, self._report),
             self._every(EXPIRE_INTERVAL_MS, self._expire),
@@ -274,9 +279,13 @@
     async def _follow(
         self, name: str, topic: str, wait_ms: int, interval_ms: int
     ) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIND_ROUTERS_MS / 1000):
+                await self._introduced.wait()
         await feed_module.follow(
             self._feeds[name],
             feed_module.Sources(
+                self._links.read_first,
                 self._store.reader(topic, wait_ms, self._clock),
                 self._links.read_reader,
                 self._links.read_peers,
--- a/src/bulrushdale/platform/registry.py
+++ b/src/bulrushdale/platform/registry.py
@@ -1,5 +1,6 @@
 """Routers find each other through the platform's store."""
 
+from collections import abc
 import logging
 
 import orjson
@@ -45,6 +46,7 @@
     member: reports.Member,
     peers: peers_module.Peers,
     clock: clock_module.Clock,
+    note_tried: abc.Callable[[], None] = lambda: None,
 ) -> None:
     """Tell the others where this router is, and find them; until cancelled.
 
@@ -56,11 +58,13 @@
     :param member: where it runs.
     :param peers: is told of the others.
     :param clock: the clock.
+    :param note_tried: called once the others are found, or can't be.
     """
     registered = found = False
     while not (registered and found):
         registered = registered or await _register(store, address, member)
         found = await _find(store, peers)
+        note_tried()
         if not (registered and found):
             await clock.sleep_ms(RETRY_DELAY_MS)
     while True:
--- a/src/bulrushdale/platform/store.py
+++ b/src/bulrushdale/platform/store.py
@@ -19,8 +19,11 @@
 
 _Taken = typing.TypeVar("_Taken")
 
-# The store answers within some ms; ten times its slowest usual answer.
+# The store answers within some ms, and goes on; ten times its slowest usual
+# answer.
 CALL_TIMEOUT_MS = 1_000
+# The largest configuration, 4 MB, takes half of this over a link of 5 Mbit/s.
+READ_TIMEOUT_MS = 15_000
 
 # The store gives about 1 MB at once, and one record more of at most 4 MB.
 MAX_ANSWER_BYTES = 16 << 20
@@ -131,7 +134,8 @@
 
     :param session: the HTTP session.
     :param url: the store's base URL.
-    :param timeout_ms: how long a call may take, besides its wait, in ms.
+    :param timeout_ms: how long the store may be silent in a call, besides
+        its wait, in ms.
     """
 
     __slots__ = ("_session", "_url", "_timeout_ms")
@@ -155,7 +159,8 @@
         wait_ms: int = 0,
     ) -> bytes:
         timeout = aiohttp.ClientTimeout(
-            total=(self._timeout_ms + wait_ms) / 1000,
+            total=(READ_TIMEOUT_MS + wait_ms) / 1000,
+            sock_read=(self._timeout_ms + wait_ms) / 1000,
             sock_connect=connections.CONNECT_TIMEOUT_MS / 1000,
         )
         try:
--- a/src/bulrushdale/routing/peers.py
+++ b/src/bulrushdale/routing/peers.py
@@ -253,6 +253,34 @@
         reader = hashing.winner(READER_KEY, collectors)
         return None if reader == self._own_address else reader
 
+    def first_readers(self, count: int) -> list[str]:
+        """Return routers to ask for a first copy, the best one first.
+
+        Nothing was heard of them yet. Those with large links send it soon,
+        and those of this data centre at no price. When all start at once, a
+        router waits only for those before it in the order, so that the first
+        one reads the store and the others don't wait for each other.
+
+        :param count: how many.
+        """
+        links_mbps = {a: peer.link_mbps for a, peer in self._peers.items()}
+        links_mbps[self._own_address] = self._link_mbps
+        least_mbps = LINK_SHARE * max(links_mbps.values())
+        near = [self._own_address]
+        far: list[str] = []
+        for address, peer in self._peers.items():
+            if peer.data_centre and links_mbps[address] >= least_mbps:
+                here = peer.data_centre == self._data_centre
+                (near if here else far).append(address)
+        key = hashing.hash64(self._data_centre.encode())
+        near = hashing.rendezvous(key, near)
+        if self._link_mbps >= least_mbps:
+            return near[: near.index(self._own_address)][:count]
+        near.remove(self._own_address)
+        # A whole data centre may have stopped.
+        few = count // 2
+        return near[:few] + hashing.rendezvous(key, far)[: count - few]
+
     def _is_heard(self, address: str) -> bool:
         """Return whether a router told something just now."""
         heard_ms = self._peers[address].heard_ms
--- a/src/bulrushdale/routing/selection.py
+++ b/src/bulrushdale/routing/selection.py
@@ -162,6 +162,14 @@
             for t in self._targets.staying(service)
         )
 
+    def is_cut_off(self, service: str) -> bool:
+        """Return whether no target of a service can be reached from here.
+
+        The fault is near then, and another router can do better.
+        """
+        staying = self._targets.staying(service)
+        return bool(staying) and all(t.health.unreachable for t in staying)
+
     def rest_left_ms(self, service: str) -> int:
         """Return when the first target of a service ends its pause, in ms.
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,6 +12,7 @@
 
 from bulrushdale.forwarding import drain
 from bulrushdale.forwarding import ports as port_module
+from bulrushdale.routing import refusals
 from examples import ports
 from examples.standins import scripted_target
 from tests import gateway_fixtures
@@ -697,6 +698,37 @@
     assert body == b"".join(scripted_target.event(n) for n in range(5))
 
 
+async def test_caller_of_a_router_that_is_cut_off_is_sent_elsewhere(
+    deployment, caller
+):
+    """Soon: the targets are well, and another router reaches them."""
+    for target in deployment.routers[0]._parts.targets.all():
+        target.health.unreachable = True
+    async with caller.get(
+        deployment.url("/lookup/x"), headers=headers()
+    ) as response:
+        assert response.status == 503
+        after_s = float(response.headers["Retry-After"])
+    most_ms = refusals.ELSEWHERE_AFTER_MS + refusals.RETURN_SPREAD_MS
+    assert after_s * 1000 <= most_ms
+    assert not received(deployment, "/lookup/")
+
+
+async def test_router_that_starts_reads_its_first_copies_from_another(
+    deployment, caller
+):
+    """Each call to the store is paid for, and a large answer takes long."""
+    topics = ("keyed.op", "keyed.servers")
+    before = [deployment.store.snapshots[topic] for topic in topics]
+    started = await deployment.add_router(link_mbps=10)
+    await deployment.ready(started)
+    assert [deployment.store.snapshots[topic] for topic in topics] == before
+    async with caller.get(
+        deployment.url("/lookup/x", started), headers=headers()
+    ) as response:
+        assert response.status == 200
+
+
 async def test_a_taken_port_shows_before_others_learn_of_the_router():
     """Else peers would count on a router that never served."""
     deployment = gateway_fixtures.Deployment()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -408,6 +408,25 @@
     assert links_mbps[chosen.pop()] >= 50
 
 
+def test_routers_that_start_together_do_not_wait_for_each_other(clock):
+    """The first of each data centre reads the store, the others from it."""
+    links_mbps = {f"10.0.0.{n}:7": mbps for n, mbps in enumerate(LINKS_MBPS)}
+    asked = {}
+    for own, own_mbps in links_mbps.items():
+        peers = peers_module.Peers(own, "dc1", own_mbps, clock)
+        for address, mbps in links_mbps.items():
+            peers.introduce(address, reports.Member("dc1", mbps))
+        peers.introduce("10.1.0.1:7", reports.Member("dc2", 100))
+        asked[own] = peers.first_readers(3)
+    large = {own for own, mbps in links_mbps.items() if mbps >= 50}
+    (first,) = [own for own in large if not asked[own]]
+    for own, others in asked.items():
+        assert own == first or others[0] == first
+        assert ("10.1.0.1:7" in others) == (own not in large)
+        assert set(others) <= {*large, "10.1.0.1:7"}
+        assert not any(own in asked.get(other, ()) for other in others)
+
+
 async def test_large_records_go_compressed_to_peers(clock):
     """A data centre's reader passes them on over one small link."""
     feed = feed_module.Feed(
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -1,6 +1,7 @@
 """Targets that are cut off are found before requests wait for them."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -171,6 +172,43 @@
     assert not there.health.suspected
 
 
+async def test_busy_router_takes_no_target_for_dark(
+    targets, prober, target, monkeypatch
+):
+    """It connected long ago, and has not come to notice it.
+
+    Of a grown fleet half was killed; the others, with twice their load, took
+    all targets for dark and turned their callers away.
+    """
+    there = add(targets, "t1", target.address)
+    connects = probes._connects
+
+    async def connect(address):
+        time.sleep(0.3)
+        return await connects(address)
+
+    monkeypatch.setattr(probes, "_connects", connect)
+    prober.suspect(there)
+    await asyncio.sleep(0.01)
+    monkeypatch.setattr(probes, "_connects", connects)
+    async with asyncio.timeout(2):
+        await settle(prober)
+    assert not there.health.unreachable
+
+
+async def test_target_that_does_not_answer_a_request_is_checked(
+    targets, prober, target
+):
+    """One lost packet is no reason to leave it alone for half a second."""
+    there = add(targets, "t1", target.address)
+    prober.suspect(there, doubted=True)
+    await asyncio.sleep(0)
+    assert there.health.suspected
+    await settle(prober)
+    assert not there.health.suspected
+    assert not there.health.unreachable
+
+
 async def test_neighbours_of_an_unreachable_target_are_checked(
     targets, prober, target
 ):
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -136,6 +136,52 @@
         await runner.cleanup()
 
 
+@contextlib.asynccontextmanager
+async def slow_store(pauses_s):
+    """A store whose newest records come piece by piece, with pauses."""
+    body = (
+        b'{"items":[{"offset":3,"key":"config","value":"dg=="}],'
+        b'"has_more":false,"end":4}'
+    )
+
+    async def answer(request):
+        response = web.StreamResponse()
+        await response.prepare(request)
+        size = -(-len(body) // len(pauses_s))
+        for place, pause_s in enumerate(pauses_s):
+            await asyncio.sleep(pause_s)
+            await response.write(body[place * size : (place + 1) * size])
+        await response.write_eof()
+        return response
+
+    app = web.Application()
+    app.router.add_get("/bulrushdale/log-newest", answer)
+    runner = web.AppRunner(app, shutdown_timeout=0.1)
+    await runner.setup()
+    (port,) = ports.free_ports(1)
+    await web.TCPSite(runner, ports.HOST, port).start()
+    try:
+        async with aiohttp.ClientSession() as session:
+            yield store_module.Store(
+                session, f"http://{ports.HOST}:{port}", timeout_ms=200
+            )
+    finally:
+        await runner.cleanup()
+
+
+async def test_large_answer_may_take_long_while_it_goes_on():
+    """A configuration of 600 KB takes a second over a link of 5 Mbit/s."""
+    async with slow_store([0.1] * 5) as store:
+        page = await store.newest("keyed.op")
+    assert page.records == [records.KeyedRecord(3, "config", b"v")]
+
+
+async def test_answer_that_stops_is_given_up():
+    async with slow_store([0, 0, 5]) as store:
+        with pytest.raises(records.SourceError):
+            await store.newest("keyed.op")
+
+
 async def test_record_of_another_writer_is_passed_over(kept):
     standin, log = kept
     await standin.put("orders", "", b"not a record")
