Targets that start within seconds of each other are of one age

At the start of a deployment each router's first request for a prefix named a target to copy from that had never had it: servers start within 2.3 s there.

--- a/src/bulrushdale/routing/placement.py
+++ b/src/bulrushdale/routing/placement.py
@@ -24,8 +24,8 @@
 # as long as a few steps of all running requests.
 LONG_PREFIX_TOKENS = 4_000
 # Targets that start within this time of each other, as when a deployment
-# starts, are of one age; their clocks differ by less.
-TOGETHER_MS = 1_000
+# starts, are of one age; prefixes were never placed without them.
+TOGETHER_MS = 5_000
 # Load that a target in another data centre counts more when nothing ties a
 # request to a target: traffic between data centres is paid for.
 REMOTE_EXTRA = 0.75
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -187,6 +187,15 @@
     assert 15 < moved < 45
 
 
+def test_nothing_is_copied_between_targets_that_started_together(clock):
+    """A deployment that starts takes some seconds for it."""
+    fleet = Fleet(clock)
+    for number in range(5, 9):
+        fleet.targets.put(listing(str(number), born_ms=100 + number * 400))
+    choices = [fleet.place(f"p{n}") for n in range(60)]
+    assert all(choice.cache_at is None for choice in choices)
+
+
 def test_short_prefix_is_read_again(fleet):
     fleet.home().in_flight = 60
     tokens = selection_module.COPIED_TOKENS_MIN - 1
