Logs: tell which prompts a target was answering when it crashed

Logs could not tell three hypotheses of the incident apart: they named one part of a prompt only, not how far an answer was, and no line joined the failures of one crash. request.placed names the shared parts, request.failed the progress, and target.crashed (with a metric) the prompts whose response had begun without an event; a router checks a target by connecting when a response breaks off.

--- a/src/bulrushdale/forwarding/attempt.py
+++ b/src/bulrushdale/forwarding/attempt.py
@@ -36,9 +36,11 @@
     """The target may have run the request, or may still run it.
 
     :param reason: why, for logs.
+    :param connection_lost: whether the connection ended before the response.
     """
 
     reason: str
+    connection_lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,7 +116,9 @@
     except TimeoutError:
         return OutcomeUnknown("timed out waiting for the response")
     except _CONNECTION_ERRORS as error:
-        return OutcomeUnknown(f"connection lost: {describe(error)}")
+        return OutcomeUnknown(
+            f"connection lost: {describe(error)}", connection_lost=True
+        )
     head = decode(response.status, response.headers)
     problem = _check_response(head, inbound)
     if problem is None:
@@ -187,11 +191,13 @@
                 if len(body) > MAX_BUFFERED_BYTES:
                     return Oversized(bytes(body))
     except TimeoutError:
-        problem = "timed out reading the body"
+        problem = OutcomeUnknown("timed out reading the body")
     except _CONNECTION_ERRORS as error:
-        problem = f"body cut short: {describe(error)}"
+        problem = OutcomeUnknown(
+            f"body cut short: {describe(error)}", connection_lost=True
+        )
     else:
         opened.response.release()
         return bytes(body)
     opened.response.close()
-    return OutcomeUnknown(problem)
+    return problem
--- a/src/bulrushdale/forwarding/context.py
+++ b/src/bulrushdale/forwarding/context.py
@@ -8,6 +8,7 @@
 
 from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import attempt
+from bulrushdale.forwarding import crashes
 from bulrushdale.forwarding import metrics as metrics_module
 from bulrushdale.forwarding import probes
 from bulrushdale.routing import budget as budget_module
@@ -56,6 +57,7 @@
     :ivar draining: returns whether the router is draining.
     :ivar metrics: the metrics of the router.
     :ivar prober: checks whether targets are reachable.
+    :ivar crash_detector: finds out which targets crashed.
     """
 
     __slots__ = (
@@ -72,6 +74,7 @@
         "draining",
         "metrics",
         "prober",
+        "crash_detector",
     )
 
     def __init__(
@@ -89,6 +92,7 @@
         draining: typing.Callable[[], bool],
         metrics: metrics_module.Metrics,
         prober: probes.Prober,
+        crash_detector: crashes.CrashDetector,
     ) -> None:
         self.clock = clock
         self.codec = codec
@@ -103,3 +107,4 @@
         self.draining = draining
         self.metrics = metrics
         self.prober = prober
+        self.crash_detector = crash_detector
--- a/src/bulrushdale/forwarding/metrics.py
+++ b/src/bulrushdale/forwarding/metrics.py
@@ -98,6 +98,8 @@
     :ivar answer_ms: time to the end of the response, in ms.
     :ivar store_reads: reads of the store by replica (the label ``feed``) and
         outcome.
+    :ivar target_crashes: targets that crashed while they responded, by
+        service.
     """
 
     __slots__ = (
@@ -106,6 +108,7 @@
         "first_event_ms",
         "answer_ms",
         "store_reads",
+        "target_crashes",
         "_gauges",
         "_exporter",
     )
@@ -130,6 +133,10 @@
             "bulrushdale_store_reads",
             "Reads of the store by feed and outcome.",
         )
+        self.target_crashes = Instrument(
+            "bulrushdale_target_crashes",
+            "Targets that crashed while they responded, by service.",
+        )
         self._gauges: list[tuple[str, str, ReadGauge, str]] = []
         self._exporter: Exporter | None = None
 
@@ -153,7 +160,12 @@
         if self._exporter is not None:
             return self._exporter
         exporter = load_exporter_module().Exporter()
-        for counter in (self.requests, self.attempts, self.store_reads):
+        for counter in (
+            self.requests,
+            self.attempts,
+            self.store_reads,
+            self.target_crashes,
+        ):
             counter.connect(
                 exporter.counter(counter.name, counter.description)
             )
--- a/src/bulrushdale/forwarding/probes.py
+++ b/src/bulrushdale/forwarding/probes.py
@@ -131,6 +131,12 @@
                 lambda _: self._checks.pop(target.target_id, None)
             )
 
+    async def is_unreachable(self, target: targets_module.Target) -> bool:
+        """Check a target now and return whether it accepts no connections."""
+        self.check(target)
+        await asyncio.wait({self._checks[target.target_id]})
+        return target.health.unreachable
+
     def record_unreachable(self, target: targets_module.Target) -> None:
         """Mark a target unreachable, and check the rest of its data centre.
 
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -26,6 +26,8 @@
 MAX_ATTEMPTS = 4
 # Responses larger than this are cut off. No user's response comes close.
 MAX_RESPONSE_BYTES = 64 << 20
+# Prompt parts in a log line, the last ones of a long chat.
+MAX_LOGGED_PARTS = 16
 # Used when the caller sends no deadline, so that only the timeout of the route
 # applies.
 DEFAULT_DEADLINE_MS = 3_600_000
@@ -55,6 +57,7 @@
         "_retry_reserved",
         "_sent_ms",
         "_had_free_slot",
+        "_progress",
         "_response",
         "_event_parser",
         "_request_log",
@@ -86,6 +89,7 @@
         self._retry_reserved = False
         self._sent_ms = received_ms
         self._had_free_slot = False
+        self._progress = messages.Progress.SENT
         self._response: web.StreamResponse | None = None
         self._event_parser = events.EventParser(inbound.resume_after)
         self._request_log = request_log_module.RequestLog(
@@ -172,6 +176,7 @@
             offers=self._attempts,
             version=self._admitted.version,
             prefix=self._inbound.shared_prefix_id,
+            parts=self._inbound.shared_part_ids[-MAX_LOGGED_PARTS:],
             shared_tokens=self._inbound.shared_tokens,
             cache_at=copy_from.target_id if copy_from else "",
             resume_after=self._event_parser.last_id,
@@ -251,6 +256,7 @@
         remaining_ms = self._remaining_ms()
         self._may_have_run_at.append(target)
         self._sent_ms = self._context.clock.now_ms()
+        self._progress = messages.Progress.SENT
         target.record_sent()
         self._had_free_slot = self._context.selection.has_free_slot(target)
         outcome = await attempt.open_response(
@@ -271,9 +277,10 @@
             return None
         if isinstance(outcome, attempt.OutcomeUnknown):
             self._attempts += 1
-            self._record_failure(target, outcome.reason)
+            self._record_failure(target, outcome)
             return None
         self._attempts += 1
+        self._progress = messages.Progress.BEGUN
         self._apply_response_head(target, outcome.head)
         if target.leaving:
             attempt.disable_keep_alive(outcome)
@@ -373,7 +380,7 @@
             target.record_accepted()
 
     def _record_failure(
-        self, target: targets_module.Target, reason: str
+        self, target: targets_module.Target, failure: attempt.OutcomeUnknown
     ) -> None:
         """Record that a target failed the request.
 
@@ -383,10 +390,21 @@
         target.health.record(failed=True)
         self._request_log.count_attempt("failed")
         self._request_log.log(
-            "request.failed", target=target.target_id, reason=reason
+            "request.failed",
+            target=target.target_id,
+            reason=failure.reason,
+            progress=self._progress,
         )
+        begun = self._progress is not messages.Progress.SENT
+        if failure.connection_lost and begun:
+            self._context.crash_detector.record_lost(
+                target,
+                self._inbound.shared_part_ids
+                if self._progress is messages.Progress.BEGUN
+                else (),
+            )
         if not self._may_retry():
-            raise self._final_error(reason)
+            raise self._final_error(failure.reason)
 
     async def _relay_buffered(
         self, target: targets_module.Target, opened: attempt.OpenResponse
@@ -415,10 +433,12 @@
                 "the response body is too large to buffer"
             )
         if isinstance(result, attempt.OutcomeUnknown):
-            self._record_failure(target, result.reason)
+            self._record_failure(target, result)
             return None
         if failed and (self._response is not None or self._may_fail_over()):
-            self._record_failure(target, f"status {head.status}")
+            self._record_failure(
+                target, attempt.OutcomeUnknown(f"status {head.status}")
+            )
             return None
         if self._response is not None:
             raise self._final_error(
@@ -498,7 +518,7 @@
 
     async def _relay_events(
         self, target: targets_module.Target, opened: attempt.OpenResponse
-    ) -> str | None:
+    ) -> attempt.OutcomeUnknown | None:
         """Relay events as they arrive.
 
         :return: why the stream broke off; none if it is complete.
@@ -519,9 +539,12 @@
                 ):
                     data = await content.readany()
             except TimeoutError:
-                return "timed out waiting for an event"
+                return attempt.OutcomeUnknown("timed out waiting for an event")
             except (aiohttp.ClientError, OSError) as error:
-                return f"stream cut short: {attempt.describe(error)}"
+                return attempt.OutcomeUnknown(
+                    f"stream cut short: {attempt.describe(error)}",
+                    connection_lost=True,
+                )
             parsed = self._event_parser.feed(data)
             if parsed.data:
                 response = await self._started_response(opened.head)
@@ -529,12 +552,16 @@
             if parsed.count:
                 stall.record_gap(clock.now_ms() - last_event_ms)
                 last_event_ms = clock.now_ms()
+                self._progress = messages.Progress.EVENTS
                 self._request_log.record_event()
             if parsed.error is not None:
-                return parsed.error
+                return attempt.OutcomeUnknown(parsed.error)
             if not data and content.at_eof():
                 if self._event_parser.within_event:
-                    return "the stream ended within an event"
+                    return attempt.OutcomeUnknown(
+                        "the stream ended within an event",
+                        connection_lost=True,
+                    )
                 return None
 
     async def _started_response(
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -15,6 +15,7 @@
 from bulrushdale.forwarding import callers
 from bulrushdale.forwarding import connections
 from bulrushdale.forwarding import context as context_module
+from bulrushdale.forwarding import crashes
 from bulrushdale.forwarding import drain as drain_module
 from bulrushdale.forwarding import gauges
 from bulrushdale.forwarding import logs
@@ -223,6 +224,9 @@
             draining=lambda: self._state.draining,
             metrics=self._metrics,
             prober=self._prober,
+            crash_detector=crashes.CrashDetector(
+                self._prober, clock, self._record_crash
+            ),
         )
         gauges.register(
             self._metrics,
@@ -239,6 +243,11 @@
         self._prefix_locations.merge(report.prefix_locations)
         self._targets.merge_leaving(report.leaving)
 
+    def _record_crash(self, crash: crashes.Crash) -> None:
+        self._metrics.target_crashes.record(
+            1, {"service": crash.target.listing.service}
+        )
+
     def _count_read(self, replica: str, outcome: str) -> None:
         self._metrics.store_reads.record(
             1, {"feed": replica, "outcome": outcome}
--- a/src/bulrushdale/routing/messages.py
+++ b/src/bulrushdale/routing/messages.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import enum
 
 
 # Callers retry after these statuses, because they take them to mean that the
@@ -9,6 +10,14 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
+class Progress(enum.StrEnum):
+    """How far a target got with the response to a request."""
+
+    SENT = "sent"
+    BEGUN = "begun"
+    EVENTS = "events"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromptPart:
     """A part of a prompt, which several requests may share.
@@ -67,6 +76,11 @@
             return ""
         return self.prompt[-2 if len(self.prompt) > 1 else 0].part_id
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Ids of the parts that other requests may share, in order."""
+        return tuple(part.part_id for part in self.prompt[:-1])
+
     @property
     def shared_tokens(self) -> int:
         """Length of the prefix shared with other requests, in tokens."""
