--- a/examples/standins/scripted_target.py
+++ b/examples/standins/scripted_target.py
@@ -4,6 +4,11 @@
 from collections import abc
 import contextlib
 import dataclasses
+import socket
+import struct
+
+# SO_LINGER with a zero timeout: closing resets the connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,6 +86,7 @@
         self.script = script
         self.received: list[ReceivedRequest] = []
         self.closed: list[str] = []
+        self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self.address = ""
 
@@ -95,8 +101,28 @@
         if self._server is not None:
             self._server.close()
 
+    async def crash(self) -> None:
+        """Stop listening and reset all connections."""
+        await self.stop()
+        for writer in self._writers:
+            sock = writer.get_extra_info("socket")
+            if sock is not None:
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
+            writer.transport.abort()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            await self._serve_connection(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def _serve_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve a connection until the caller or the script closes it.
 
--- /dev/null
+++ b/tests/test_crashing_prompts.py
@@ -0,0 +1,161 @@
+"""Prompt parts that crash each target that begins a response to them."""
+
+import asyncio
+import itertools
+
+import aiohttp
+import pytest
+
+from examples.standins import scripted_target
+from tests import gateway_fixtures
+
+TARGETS = 5
+# Targets of the users are back after some seconds; shorter here.
+RESTART_MS = 300
+DEADLY = "dead"
+# The users allow three requests after this time from the fifth crash on. The
+# tests allow less time than the users' 3,000 ms.
+CRASHES_ALLOWED = 5
+REACTION_MS = 1_500
+LATE_ALLOWED = 3
+STEPS = 30
+STEP_MS = 100
+# The users expect half of the share that begins in calm times.
+SERVED_SHARE = 0.5
+
+
+class Pool:
+    """Targets that crash on a prompt part and start again with a new id.
+
+    :ivar crashes_s: when they crashed, by the event loop's clock.
+    :ivar deadly_s: when requests with the part arrived.
+    """
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.crashes_s = []
+        self.deadly_s = []
+        self._numbers = itertools.count()
+        self._restarts = set()
+
+    async def start_target(self):
+        name = f"t{next(self._numbers)}"
+        self.arm(name, await self.deployment.add_target(name))
+
+    def arm(self, name, target):
+        """Make a target crash on the deadly part."""
+
+        async def script(request, writer):
+            parts = request.headers.get("x-prompt-prefix", "")
+            if DEADLY not in parts:
+                await asyncio.sleep(0.02)
+                return await gateway_fixtures.respond(request, writer)
+            loop = asyncio.get_running_loop()
+            self.deadly_s.append(loop.time())
+            writer.write(scripted_target.stream_head(request))
+            await writer.drain()
+            await asyncio.sleep(0.03)
+            await self.crash(name, target)
+            return False
+
+        target.script = script
+
+    async def crash(self, name, target):
+        self.crashes_s.append(asyncio.get_running_loop().time())
+        await target.crash()
+        self.deployment.targets.remove(target)
+        restart = asyncio.create_task(self._restart(name))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _restart(self, name):
+        await self.deployment.store.put("keyed.servers", name, b"")
+        await asyncio.sleep(RESTART_MS / 1000)
+        await self.start_target()
+
+    def late_requests(self):
+        """Return how many deadly requests came after the reaction time."""
+        if len(self.crashes_s) < CRASHES_ALLOWED:
+            return 0
+        from_s = self.crashes_s[CRASHES_ALLOWED - 1] + REACTION_MS / 1000
+        return sum(1 for sent_s in self.deadly_s if sent_s > from_s)
+
+
+@pytest.fixture
+async def pool():
+    """Start two routers in front of targets that crash."""
+    async with gateway_fixtures.running_deployment("first") as deployment:
+        pool = Pool(deployment)
+        pool.arm("first", deployment.targets[0])
+        for _ in range(TARGETS - 1):
+            await pool.start_target()
+        await deployment.add_router(router="r2", data_centre="dc2")
+        for router in deployment.routers:
+            await deployment.wait_ready(router)
+        await asyncio.sleep(1)
+        yield pool
+
+
+@pytest.fixture
+async def caller():
+    """Open an HTTP client session for callers."""
+    async with aiohttp.ClientSession() as session:
+        yield session
+
+
+def headers(request_id, *parts):
+    prefix = ",".join(f"{part}:300" for part in (*parts, request_id))
+    return {
+        "Host": "example.test",
+        "X-Request-Id": request_id,
+        "X-Deadline-Ms": "3000",
+        "X-Prompt-Prefix": prefix,
+        "X-Token-Counts": "900,30",
+        "Authorization": "Bearer key-1",
+    }
+
+
+async def send(pool, caller, number, path, *parts):
+    """Send a request to one of the routers; return status and complete."""
+    routers = pool.deployment.routers
+    url = pool.deployment.url(path, routers[number % len(routers)])
+    async with caller.post(
+        url, headers=headers(f"q{number}", *parts)
+    ) as response:
+        try:
+            await response.read()
+        except aiohttp.ClientError:
+            return response, False
+        return response, response.status == 200
+
+
+CHAINS = {
+    "first_part": lambda n: (DEADLY, f"a{n % 3}", f"b{n % 4}"),
+    "middle_part": lambda n: ("first", DEADLY, "b0"),
+    "last_shared_part": lambda n: ("first", "a0", DEADLY),
+    "after_changing_parts": lambda n: (f"f{n % 2}", f"a{n % 3}", DEADLY),
+}
+
+
+@pytest.mark.parametrize(
+    ("chain", "path"),
+    [*((chain, "/plan/x") for chain in CHAINS), ("first_part", "/chat/x")],
+)
+async def test_prompt_part_does_not_crash_one_target_after_the_other(
+    pool, caller, chain, path
+):
+    """Sound requests share the key and the other parts."""
+    numbers = itertools.count()
+    sound = []
+    for step in range(STEPS):
+        number = next(numbers)
+        parts = CHAINS[chain](step)
+        await send(pool, caller, number, path, *parts)
+        others = [part for part in parts if part != DEADLY]
+        for _ in pool.deployment.routers:
+            result = await send(pool, caller, next(numbers), path, *others)
+            sound.append(result[1])
+        await asyncio.sleep(STEP_MS / 1000)
+    late = sound[len(sound) // 2 :]
+    assert pool.late_requests() <= LATE_ALLOWED
+    assert sum(late) >= len(late) * SERVED_SHARE
