Quarantine prompt parts that crash one target after the other

Cause: a failure was charged to the target only. A request whose response broke off with a crash was sent to the next target, by the router and by its caller, and no router knew that other targets had crashed on the same prompt.

Evidence: target.crashed names one chain of parts at 43 of 43 crashes; its last part never gets an event, its other parts do. Ruled out: targets' own fault (no other prompt is at all crashes), cold caches (warm targets go first).

Change: routers tell each other their crashes, with the prompts whose response had begun without an event. A prompt is meant if it has all parts that were together at each of these crashes, so sound prompts that share some of them pass, and an event narrows the set. Crashes at the same time count once.

Why it works: what crashes a target is at each of its crashes and never gets an event; a sound part gets one within a second of any other use.

--- a/src/bulrushdale/forwarding/context.py
+++ b/src/bulrushdale/forwarding/context.py
@@ -14,6 +14,7 @@
 from bulrushdale.routing import budget as budget_module
 from bulrushdale.routing import messages
 from bulrushdale.routing import peers as peers_module
+from bulrushdale.routing import quarantine as quarantine_module
 from bulrushdale.routing import revisions as revisions_module
 from bulrushdale.routing import selection as selection_module
 from bulrushdale.routing import targets as targets_module
@@ -58,6 +59,7 @@
     :ivar metrics: the metrics of the router.
     :ivar prober: checks whether targets are reachable.
     :ivar crash_detector: finds out which targets crashed.
+    :ivar quarantine: decides which requests are withheld.
     """
 
     __slots__ = (
@@ -75,6 +77,7 @@
         "metrics",
         "prober",
         "crash_detector",
+        "quarantine",
     )
 
     def __init__(
@@ -93,6 +96,7 @@
         metrics: metrics_module.Metrics,
         prober: probes.Prober,
         crash_detector: crashes.CrashDetector,
+        quarantine: quarantine_module.Quarantine,
     ) -> None:
         self.clock = clock
         self.codec = codec
@@ -108,3 +112,4 @@
         self.metrics = metrics
         self.prober = prober
         self.crash_detector = crash_detector
+        self.quarantine = quarantine
--- a/src/bulrushdale/forwarding/gauges.py
+++ b/src/bulrushdale/forwarding/gauges.py
@@ -7,6 +7,7 @@
 from bulrushdale.forwarding import replica as replica_module
 from bulrushdale.routing import budget as budget_module
 from bulrushdale.routing import peers as peers_module
+from bulrushdale.routing import quarantine as quarantine_module
 from bulrushdale.routing import selection as selection_module
 from bulrushdale.routing import targets as targets_module
 
@@ -21,6 +22,7 @@
     peers: peers_module.Peers,
     selection: selection_module.Selection,
     budget: budget_module.RetryBudget,
+    quarantine: quarantine_module.Quarantine,
 ) -> None:
     """Register the gauges of a router.
 
@@ -31,6 +33,7 @@
     :param peers: the other routers.
     :param selection: estimates the expected wait of each service.
     :param budget: the retry budget of each service.
+    :param quarantine: decides which requests are withheld.
     """
 
     def replica_ages_ms() -> dict[str, float]:
@@ -95,3 +98,9 @@
         retries_left,
         "service",
     )
+    gauge(
+        "quarantined_prompts",
+        "Sets of prompt parts in quarantine.",
+        lambda: {"active": len(quarantine.active())},
+        "state",
+    )
--- a/src/bulrushdale/forwarding/peer_transport.py
+++ b/src/bulrushdale/forwarding/peer_transport.py
@@ -23,6 +23,7 @@
 from bulrushdale.forwarding import connections
 from bulrushdale.forwarding import replica as replica_module
 from bulrushdale import records
+from bulrushdale.routing import crash_evidence
 from bulrushdale.routing import health
 from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import reports
@@ -46,7 +47,23 @@
 
 
 def encode_report(report: reports.Report) -> bytes:
-    """Encode a report as a compressed datagram."""
+    """Encode a report as a compressed datagram.
+
+    Crashes are left out if there are none: routers of earlier versions ignore
+    reports with fields that they don't know.
+    """
+    crashes = [
+        [
+            [
+                crash.target_id,
+                crash.started_ms,
+                crash.age_ms,
+                crash.prompts,
+            ]
+            for crash in report.crashes
+        ],
+        report.cleared,
+    ]
     return _compress(
         [
             report.address,
@@ -72,6 +89,7 @@
             report.link_mbps,
             report.partial,
             list(report.leaving),
+            *(crashes if any(crashes) else []),
         ]
     )
 
@@ -88,8 +106,9 @@
     try:
         fields = orjson.loads(zlib.decompress(data))
         encoded_targets, members, locations, link_mbps, partial, leaving = (
-            fields[7:]
+            fields[7:13]
         )
+        crashes, cleared = fields[13:] or ([], [])
         targets = {
             target_id: reports.TargetReport(
                 in_flight, health.Results(done, failed)
@@ -116,11 +135,27 @@
                 (target_id, int(started_ms))
                 for target_id, started_ms in leaving
             ),
+            crashes=tuple(_decode_crash(*crash) for crash in crashes),
+            cleared=tuple(map(int, cleared)),
         )
     except (TypeError, AttributeError, KeyError, zlib.error) as error:
         raise ValueError(repr(error)) from error
 
 
+def _decode_crash(
+    target_id: str,
+    started_ms: int,
+    age_ms: int,
+    prompts: list[list[int]],
+) -> crash_evidence.CrashReport:
+    return crash_evidence.CrashReport(
+        target_id,
+        int(started_ms),
+        int(age_ms),
+        tuple(tuple(map(int, parts)) for parts in prompts),
+    )
+
+
 class _ReportProtocol(asyncio.DatagramProtocol):
     """Passes received datagrams to a callback."""
 
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -14,6 +14,7 @@
 from bulrushdale.routing import access
 from bulrushdale.routing import messages
 from bulrushdale.routing import overload
+from bulrushdale.routing import quarantine
 from bulrushdale.routing import refusals
 from bulrushdale.routing import routes
 from bulrushdale.routing import selection as selection_module
@@ -153,6 +154,11 @@
             raise self._final_error("the deadline has passed")
         if self._attempts >= MAX_ATTEMPTS:
             raise self._final_error("no target accepted the request")
+        withheld = self._context.quarantine.check(
+            self._service, self._inbound.shared_part_ids
+        )
+        if withheld is not None:
+            raise self._withheld_error(withheld)
         choice = self._context.selection.choose(
             self._inbound,
             self._route,
@@ -183,6 +189,21 @@
         )
         return choice
 
+    def _withheld_error(self, withheld: quarantine.Withheld) -> Exception:
+        """Return the error that ends a request with a quarantined part."""
+        self._request_log.log(
+            "request.withheld",
+            parts=withheld.part_ids,
+            crashes=withheld.crashes,
+            remaining_ms=withheld.remaining_ms,
+        )
+        detail = "a part of the prompt crashed targets and is in quarantine"
+        if self._response is not None or self._may_have_run_at:
+            return self._final_error(detail)
+        return refusals.refuse(
+            results.Code.PROMPT_QUARANTINED, detail, withheld.remaining_ms
+        )
+
     def _final_error(self, detail: str) -> Exception:
         """Return the error that ends the request without a full response."""
         if self._response is not None:
@@ -403,9 +424,23 @@
                 if self._progress is messages.Progress.BEGUN
                 else (),
             )
-        if not self._may_retry():
+        if not self._may_retry() or self._may_crash_next(failure):
             raise self._final_error(failure.reason)
 
+    def _may_crash_next(self, failure: attempt.OutcomeUnknown) -> bool:
+        """Return whether the request may crash the next target too.
+
+        Its response broke off before its first event, and its prompt is under
+        suspicion for earlier crashes.
+        """
+        return (
+            failure.connection_lost
+            and self._progress is messages.Progress.BEGUN
+            and not self._context.quarantine.may_repeat(
+                self._service, self._inbound.shared_part_ids
+            )
+        )
+
     async def _relay_buffered(
         self, target: targets_module.Target, opened: attempt.OpenResponse
     ) -> web.StreamResponse | None:
@@ -449,6 +484,8 @@
             raise self._final_error(
                 f"status {head.status}, but the request may have run"
             )
+        if head.success:
+            self._record_progress()
         if head.success and self._had_free_slot:
             duration_ms = self._context.clock.now_ms() - self._sent_ms
             self._context.selection.record_run_time(self._service, duration_ms)
@@ -552,7 +589,7 @@
             if parsed.count:
                 stall.record_gap(clock.now_ms() - last_event_ms)
                 last_event_ms = clock.now_ms()
-                self._progress = messages.Progress.EVENTS
+                self._record_progress()
                 self._request_log.record_event()
             if parsed.error is not None:
                 return attempt.OutcomeUnknown(parsed.error)
@@ -564,6 +601,14 @@
                     )
                 return None
 
+    def _record_progress(self) -> None:
+        """Record that the target responded with at least one event."""
+        if self._progress is not messages.Progress.EVENTS:
+            self._progress = messages.Progress.EVENTS
+            self._context.quarantine.record_event(
+                self._service, self._inbound.shared_part_ids
+            )
+
     async def _started_response(
         self, head: messages.ResponseHead
     ) -> web.StreamResponse:
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -31,8 +31,10 @@
 from bulrushdale.platform import registry
 from bulrushdale.platform import store as store_module
 from bulrushdale.routing import budget as budget_module
+from bulrushdale.routing import crash_evidence
 from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import prefix_locations as locations_module
+from bulrushdale.routing import quarantine
 from bulrushdale.routing import reports
 from bulrushdale.routing import revisions as revisions_module
 from bulrushdale.routing import selection as selection_module
@@ -191,6 +193,10 @@
             clock,
         )
         self._prober = probes.Prober(self._targets, clock)
+        self._crash_evidence = crash_evidence.CrashEvidence(clock)
+        self._quarantine = quarantine.Quarantine(
+            self._crash_evidence, self._address, clock
+        )
         self._discovery_attempted = asyncio.Event()
         self._sequence = 0
         self._started_ms = clock.wall_ms()
@@ -227,6 +233,7 @@
             crash_detector=crashes.CrashDetector(
                 self._prober, clock, self._record_crash
             ),
+            quarantine=self._quarantine,
         )
         gauges.register(
             self._metrics,
@@ -236,14 +243,33 @@
             self._peers,
             self._context.selection,
             self._context.budget,
+            self._quarantine,
         )
 
     def _apply_report(self, report: reports.Report) -> None:
         """Apply the parts of another router's report besides its load."""
         self._prefix_locations.merge(report.prefix_locations)
         self._targets.merge_leaving(report.leaving)
+        for crash in report.crashes:
+            self._crash_evidence.record(crash)
+        if report.cleared:
+            self._crash_evidence.clear(report.cleared)
 
     def _record_crash(self, crash: crashes.Crash) -> None:
+        """Count a crash, and record the prompts under suspicion."""
+        listing = crash.target.listing
+        self._crash_evidence.record(
+            crash_evidence.CrashReport(
+                listing.target_id,
+                listing.started_ms,
+                self._clock.now_ms() - crash.crashed_ms,
+                tuple(
+                    tuple(quarantine.hash_parts(listing.service, part_ids))
+                    for part_ids in crash.prompts
+                ),
+            ),
+            own=True,
+        )
         self._metrics.target_crashes.record(
             1, {"service": crash.target.listing.service}
         )
@@ -367,6 +393,8 @@
                 prefix_locations=self._prefix_locations.take_updates(),
                 link_mbps=self.settings.link_mbps,
                 leaving=self._targets.leaving_to_report(),
+                crashes=self._quarantine.crashes_to_report(),
+                cleared=self._crash_evidence.recently_cleared(),
             )
         )
 
--- a/src/bulrushdale/results.py
+++ b/src/bulrushdale/results.py
@@ -38,6 +38,7 @@
     CONFIGURATION_OUTDATED = 3009
     DEADLINE_PASSED = 3010
     STOPPING = 3011
+    PROMPT_QUARANTINED = 3012
     TARGET_FAILED = 4001
     ANSWER_CUT = 4002
     OUTCOME_UNKNOWN = 4003
@@ -135,6 +136,9 @@
     Code.STOPPING: Meaning(
         503, _NO, True, "Open a new connection; another router takes it."
     ),
+    Code.PROMPT_QUARANTINED: Meaning(
+        503, _NO, True, "Change the prompt; a part of it crashed targets."
+    ),
     Code.TARGET_FAILED: Meaning(
         502, Ran.UNKNOWN, False, "Look the effect up before a new key."
     ),
--- /dev/null
+++ b/src/bulrushdale/routing/crash_evidence.py
@@ -0,0 +1,323 @@
+"""Evidence that a part of a prompt crashes targets.
+
+A target that crashes breaks off all its responses, so most of the prompts at
+a crash have nothing to do with it. Those whose response had begun, but had no
+event yet, are under suspicion. A part that crashes targets is in such a prompt
+at each of its crashes and never gets an event; a part that gets an event after
+a crash is cleared of it.
+
+Routers tell each other their crashes and the parts that they cleared, as the
+requests with a part arrive at any router, and each sees only its own.
+"""
+
+import collections
+from collections import abc
+import dataclasses
+
+from bulrushdale import clock as clock_module
+
+# A crash is evidence for this long, several times the longest quarantine.
+CRASH_TTL_MS = 3_600_000
+# Other routers' crashes are accepted up to this age, so that routers don't
+# return expired ones to each other.
+MAX_ACCEPTED_AGE_MS = CRASH_TTL_MS - 10_000
+# Crashes remembered, the latest ones: a rack of targets and a few more.
+MAX_CRASHES = 128
+# Prompts remembered per crash. A target begins few responses at a time.
+MAX_PROMPTS = 8
+# Parts remembered per prompt, the last ones of a long chat.
+MAX_PARTS = 32
+# Crashes within this time count once: a rack or a data centre that fails takes
+# down many targets at the same time, and any popular part with them.
+SIMULTANEOUS_MS = 100
+# A new crash, and a cleared part, is in all reports for this time. Collectors
+# pass reports on every 250 to 800 ms.
+REPORTED_FOR_MS = 2_000
+# Cleared parts remembered, for reports of earlier crashes that arrive late.
+MAX_CLEARED = 1_024
+# Cleared parts per report.
+MAX_REPORTED_CLEARED = 64
+# Parts in the crashes of a report, about 1 KB compressed.
+MAX_REPORTED_PARTS = 128
+
+# Hashes of the parts of a prompt.
+Prompt = frozenset[int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashReport:
+    """A crash of a target, as routers report it to each other.
+
+    :param target_id: id of the target.
+    :param started_ms: when the target started, in ms since the epoch; a start
+        crashes once.
+    :param age_ms: time since the crash, in ms.
+    :param prompts: hashes of the parts of each prompt under suspicion.
+    """
+
+    target_id: str
+    started_ms: int
+    age_ms: int
+    prompts: tuple[tuple[int, ...], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Culprit:
+    """Parts that explain several crashes.
+
+    :param parts: hashes of the parts; a prompt is meant if it has all of them.
+    :param crashes: number of crashes that they explain.
+    :param last_crash_ms: time of the last one, in ms of the clock.
+    """
+
+    parts: Prompt
+    crashes: int
+    last_crash_ms: int
+
+
+class Crash:
+    """What is known about the crash of one start of a target.
+
+    :param crashed_ms: when it crashed, in ms of the clock.
+    :param learned_ms: when this router learned of it, in ms of the clock.
+
+    :ivar prompts: the prompts under suspicion, without cleared parts; crashes
+        without any are forgotten.
+    :ivar own: whether this router saw the crash itself.
+    """
+
+    __slots__ = ("crashed_ms", "learned_ms", "prompts", "own")
+
+    def __init__(self, crashed_ms: int, learned_ms: int, own: bool) -> None:
+        self.crashed_ms = crashed_ms
+        self.learned_ms = learned_ms
+        self.prompts: set[Prompt] = set()
+        self.own = own
+
+    def add(self, prompts: abc.Iterable[Prompt]) -> bool:
+        """Add prompts up to the maximum; return whether any is new."""
+        known = len(self.prompts)
+        for prompt in prompts:
+            if prompt and len(self.prompts) < MAX_PROMPTS:
+                self.prompts.add(prompt)
+        return len(self.prompts) > known
+
+    def clear(self, parts: abc.Collection[int]) -> None:
+        """Remove parts from all prompts, and prompts without any part."""
+        cleared = {prompt.difference(parts) for prompt in self.prompts}
+        self.prompts = {prompt for prompt in cleared if prompt}
+
+
+class CrashEvidence:
+    """The crashes that this router and others have seen lately.
+
+    :param clock: the clock.
+
+    :ivar revision: grows with each change.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_crashes",
+        "_cleared_ms",
+        "_suspected",
+        "_suspected_revision",
+        "revision",
+    )
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        # By id and start of the target, the earliest known first.
+        self._crashes: collections.OrderedDict[tuple[str, int], Crash] = (
+            collections.OrderedDict()
+        )
+        self._cleared_ms: collections.OrderedDict[int, int] = (
+            collections.OrderedDict()
+        )
+        # Parts under suspicion, computed on demand.
+        self._suspected: Prompt = frozenset()
+        self._suspected_revision = 0
+        self.revision = 0
+
+    def __bool__(self) -> bool:
+        return bool(self._crashes)
+
+    def suspected(self) -> Prompt:
+        """Return the parts under suspicion."""
+        if self._suspected_revision != self.revision:
+            self._suspected_revision = self.revision
+            self._suspected = frozenset().union(
+                *(
+                    prompt
+                    for crash in self._crashes.values()
+                    for prompt in crash.prompts
+                )
+            )
+        return self._suspected
+
+    def record(self, report: CrashReport, own: bool = False) -> None:
+        """Record a crash, or more prompts of a known one.
+
+        :param report: the crash.
+        :param own: whether this router saw the crash itself.
+        """
+        if not own and report.age_ms > MAX_ACCEPTED_AGE_MS:
+            return
+        now_ms = self._clock.now_ms()
+        crashed_ms = now_ms - max(0, report.age_ms)
+        key = (report.target_id, report.started_ms)
+        crash = self._crashes.get(key)
+        if crash is None:
+            crash = Crash(crashed_ms, now_ms, own)
+        crash.own |= own
+        crash.crashed_ms = min(crash.crashed_ms, crashed_ms)
+        changed = crash.add(
+            frozenset(
+                part
+                for part in parts[-MAX_PARTS:]
+                if self._cleared_ms.get(part, -1) < crash.crashed_ms
+            )
+            for parts in report.prompts[:MAX_PROMPTS]
+        )
+        if not changed:
+            return
+        self._crashes[key] = crash
+        self.revision += 1
+        if len(self._crashes) > MAX_CRASHES:
+            self._crashes.popitem(last=False)
+
+    def clear(self, parts: abc.Collection[int]) -> bool:
+        """Clear parts of all crashes so far, as they got an event since.
+
+        :param parts: hashes of the parts.
+        :return: whether any of them was under suspicion.
+        """
+        if self.suspected().isdisjoint(parts):
+            return False
+        for key, crash in list(self._crashes.items()):
+            crash.clear(parts)
+            if not crash.prompts:
+                del self._crashes[key]
+        self.revision += 1
+        now_ms = self._clock.now_ms()
+        for part in parts:
+            self._cleared_ms[part] = now_ms
+            self._cleared_ms.move_to_end(part)
+        while len(self._cleared_ms) > MAX_CLEARED:
+            self._cleared_ms.popitem(last=False)
+        return True
+
+    def expire(self) -> None:
+        """Forget crashes that are too old to be evidence."""
+        oldest_ms = self._clock.now_ms() - CRASH_TTL_MS
+        for key, crash in list(self._crashes.items()):
+            if crash.crashed_ms < oldest_ms:
+                del self._crashes[key]
+                self.revision += 1
+
+    def crashes(self) -> list[Crash]:
+        """Return the crashes, the earliest known first."""
+        return list(self._crashes.values())
+
+    def reports(
+        self, is_reported: abc.Callable[[Crash], bool]
+    ) -> tuple[CrashReport, ...]:
+        """Return the crashes to report to other routers, the latest first.
+
+        :param is_reported: whether a crash is reported now.
+        """
+        now_ms = self._clock.now_ms()
+        found: list[CrashReport] = []
+        parts = 0
+        for (target_id, started_ms), crash in reversed(self._crashes.items()):
+            if not is_reported(crash):
+                continue
+            parts += sum(map(len, crash.prompts))
+            if found and parts > MAX_REPORTED_PARTS:
+                break
+            prompts = tuple(tuple(sorted(p)) for p in crash.prompts)
+            age_ms = now_ms - crash.crashed_ms
+            found.append(CrashReport(target_id, started_ms, age_ms, prompts))
+        return tuple(found)
+
+    def recently_cleared(self) -> tuple[int, ...]:
+        """Return the parts cleared lately, for reports to other routers."""
+        oldest_ms = self._clock.now_ms() - REPORTED_FOR_MS
+        return tuple(
+            part
+            for part, cleared_ms in self._cleared_ms.items()
+            if cleared_ms >= oldest_ms
+        )[-MAX_REPORTED_CLEARED:]
+
+
+def find_culprits(
+    crashes: abc.Iterable[Crash], min_crashes: int
+) -> list[Culprit]:
+    """Return the parts that explain several crashes.
+
+    The parts of the most crashes come first. What they explain is no evidence
+    against the others, which only happened to be there.
+
+    :param crashes: the crashes.
+    :param min_crashes: number of crashes that a part has to explain.
+    """
+    unexplained = list(crashes)
+    found: list[Culprit] = []
+    while True:
+        culprits = _most_frequent(unexplained, min_crashes)
+        if not culprits:
+            return found
+        found += culprits
+        unexplained = [
+            crash
+            for crash in unexplained
+            if not any(
+                culprit.parts <= prompt
+                for culprit in culprits
+                for prompt in crash.prompts
+            )
+        ]
+
+
+def _most_frequent(
+    crashes: abc.Iterable[Crash], min_crashes: int
+) -> list[Culprit]:
+    """Return the parts that explain the most crashes, if there are enough.
+
+    Parts that were always together are one culprit: nothing tells which of
+    them it is. Among parts of equally many crashes, one that was in more
+    prompts is left out, because not all of its prompts are needed to explain
+    the crashes.
+    """
+    places: dict[int, set[tuple[int, Prompt]]] = collections.defaultdict(set)
+    for crash in crashes:
+        for prompt in crash.prompts:
+            for part in prompt:
+                places[part].add((crash.crashed_ms, prompt))
+    counts = {
+        part: _count_distinct({crashed_ms for crashed_ms, _ in found})
+        for part, found in places.items()
+    }
+    most = max(counts.values(), default=0)
+    if most < min_crashes:
+        return []
+    tied = [part for part, count in counts.items() if count == most]
+    culprits = {}
+    for part in tied:
+        if any(places[other] < places[part] for other in tied):
+            continue
+        together = frozenset.intersection(*(p for _, p in places[part]))
+        last_crash_ms = max(crashed_ms for crashed_ms, _ in places[part])
+        culprits[together] = Culprit(together, most, last_crash_ms)
+    return list(culprits.values())
+
+
+def _count_distinct(times_ms: abc.Iterable[int]) -> int:
+    """Return the number of crashes, where simultaneous ones count once."""
+    count = 0
+    last_ms: int | None = None
+    for time_ms in sorted(times_ms):
+        if last_ms is None or time_ms - last_ms > SIMULTANEOUS_MS:
+            count += 1
+            last_ms = time_ms
+    return count
--- a/src/bulrushdale/routing/reports.py
+++ b/src/bulrushdale/routing/reports.py
@@ -3,8 +3,13 @@
 from collections import abc
 import dataclasses
 
+from bulrushdale.routing import crash_evidence
 from bulrushdale.routing import health
 
+# Crashes in a total of several reports, the most recent ones. At 60 bytes each
+# they stay below a quarter of a router's control traffic.
+MAX_TOTAL_CRASHES = 32
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
@@ -75,6 +80,8 @@
         the sender's earlier reports.
     :param leaving: targets that announced in a response that they are
         leaving, with their start times.
+    :param crashes: recent crashes of targets, and those behind a quarantine.
+    :param cleared: hashes of the prompt parts that were cleared of crashes.
     """
 
     address: str
@@ -90,6 +97,8 @@
     link_mbps: int = 0
     partial: bool = False
     leaving: abc.Sequence[tuple[str, int]] = ()
+    crashes: abc.Sequence[crash_evidence.CrashReport] = ()
+    cleared: abc.Sequence[int] = ()
 
 
 def apply_partial(report: Report, previous: Report | None) -> Report:
@@ -121,8 +130,12 @@
     routers, store_up_ms = own.routers, own.store_up_ms
     target_maps = [own.targets]
     leaving = set(own.leaving)
+    crashes = list(own.crashes)
+    cleared = set(own.cleared)
     for report in others:
         leaving.update(report.leaving)
+        crashes += report.crashes
+        cleared.update(report.cleared)
         routers += report.routers
         store_up_ms = max(store_up_ms, report.store_up_ms)
         prefix_locations.update(report.prefix_locations)
@@ -135,9 +148,29 @@
         targets=sum_targets(target_maps),
         prefix_locations=prefix_locations,
         leaving=tuple(sorted(leaving)),
+        crashes=_merge_crashes(crashes),
+        cleared=tuple(cleared),
     )
 
 
+def _merge_crashes(
+    crashes: abc.Iterable[crash_evidence.CrashReport],
+) -> tuple[crash_evidence.CrashReport, ...]:
+    """Return each crash once, with all prompts, the most recent ones first."""
+    merged: dict[tuple[str, int], crash_evidence.CrashReport] = {}
+    for crash in crashes:
+        key = (crash.target_id, crash.started_ms)
+        known = merged.get(key, crash)
+        prompts = dict.fromkeys([*known.prompts, *crash.prompts])
+        merged[key] = dataclasses.replace(
+            known,
+            age_ms=max(known.age_ms, crash.age_ms),
+            prompts=tuple(prompts)[: crash_evidence.MAX_PROMPTS],
+        )
+    recent = sorted(merged.values(), key=lambda crash: crash.age_ms)
+    return tuple(recent[:MAX_TOTAL_CRASHES])
+
+
 def sum_targets(
     target_maps: abc.Iterable[abc.Mapping[str, TargetReport]],
 ) -> dict[str, TargetReport]:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -12,7 +12,7 @@
     ROOT / "src/bulrushdale/start.py",
 ]
 EVENT = re.compile(
-    r'"((?:request|answer|configuration|target|store|link|router|log)'
+    r'"((?:request|answer|configuration|prompt|target|store|link|router|log)'
     r'\.[a-z_]+)"'
 )
 METRIC = re.compile(r'"bulrushdale_([a-z_]+)"')
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,6 +1,7 @@
 """Load reports between routers in small and large fleets."""
 
 import random
+import zlib
 
 from aiohttp import test_utils
 import orjson
@@ -9,6 +10,7 @@
 from bulrushdale.forwarding import peer_transport
 from bulrushdale.forwarding import replica as replica_module
 from bulrushdale import records
+from bulrushdale.routing import crash_evidence
 from bulrushdale.routing import health
 from bulrushdale.routing import partial_updates
 from bulrushdale.routing import peers as peers_module
@@ -355,6 +357,34 @@
     assert selector.select({}, 5) == {}
 
 
+def test_crashes_survive_encoding():
+    crash = crash_evidence.CrashReport("t1", 5, 70, (((1 << 64) - 1, 2), (3,)))
+    report = make_report("10.0.0.2:7", crashes=(crash,), cleared=(4,))
+    assert (
+        peer_transport.decode_report(peer_transport.encode_report(report))
+        == report
+    )
+
+
+def test_report_without_crashes_is_as_routers_of_earlier_versions_expect():
+    data = peer_transport.encode_report(make_report("10.0.0.2:7"))
+    assert len(orjson.loads(zlib.decompress(data))) == 13
+
+
+def test_totals_name_each_crash_once_with_all_prompts(clock):
+    """Crashes reach all routers of a large fleet through its collectors."""
+    crashes = [
+        crash_evidence.CrashReport("t1", 5, age_ms, ((part,),))
+        for age_ms, part in ((70, 1), (90, 2))
+    ]
+    own = make_report(OWN, crashes=crashes[:1])
+    others = [make_report("10.0.0.2:7", crashes=crashes[1:], cleared=(4,))]
+    total = reports.sum_reports(own, others, is_fleet_total=True)
+    (crash,) = total.crashes
+    assert (crash.age_ms, crash.prompts) == (90, ((1,), (2,)))
+    assert total.cleared == (4,)
+
+
 def test_largest_report_fits_a_datagram():
     """A single router reports load at all 2,000 targets."""
     rng = random.Random(1)
