Withdraw waiting requests when their prompt gets into quarantine

Cause: the quarantine looked at requests before they were sent, but those that already waited in a target's queue crashed it as soon as their turn came.

Change: a request is watched until its first event, and its connection is closed once its prompt is quarantined. It gets 502, as it may have run. The test failed before: both requests stayed at their targets.

--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -1,6 +1,7 @@
 """Forwarding of one request to targets, with retries and failover."""
 
 import asyncio
+from collections import abc
 
 import aiohttp
 from aiohttp import web
@@ -29,6 +30,7 @@
 MAX_RESPONSE_BYTES = 64 << 20
 # Prompt parts in a log line, the last ones of a long chat.
 MAX_LOGGED_PARTS = 16
+QUARANTINED_DETAIL = "a part of the prompt crashed targets"
 # Used when the caller sends no deadline, so that only the timeout of the route
 # applies.
 DEFAULT_DEADLINE_MS = 3_600_000
@@ -59,6 +61,7 @@
         "_sent_ms",
         "_had_free_slot",
         "_progress",
+        "_withdraw",
         "_response",
         "_event_parser",
         "_request_log",
@@ -91,6 +94,7 @@
         self._sent_ms = received_ms
         self._had_free_slot = False
         self._progress = messages.Progress.SENT
+        self._withdraw: abc.Callable[[], None] = lambda: None
         self._response: web.StreamResponse | None = None
         self._event_parser = events.EventParser(inbound.resume_after)
         self._request_log = request_log_module.RequestLog(
@@ -135,7 +139,9 @@
                 target = choice.target
                 target.in_flight += 1
                 try:
-                    response = await self._send(target, choice.copy_from)
+                    response = await self._send_watched(
+                        target, choice.copy_from
+                    )
                 finally:
                     target.in_flight -= 1
                 if response is not None:
@@ -197,11 +203,12 @@
             crashes=withheld.crashes,
             remaining_ms=withheld.remaining_ms,
         )
-        detail = "a part of the prompt crashed targets and is in quarantine"
         if self._response is not None or self._may_have_run_at:
-            return self._final_error(detail)
+            return self._final_error(QUARANTINED_DETAIL)
         return refusals.refuse(
-            results.Code.PROMPT_QUARANTINED, detail, withheld.remaining_ms
+            results.Code.PROMPT_QUARANTINED,
+            QUARANTINED_DETAIL,
+            withheld.remaining_ms,
         )
 
     def _final_error(self, detail: str) -> Exception:
@@ -262,6 +269,37 @@
             and self._reserve_retry()
         )
 
+    async def _send_watched(
+        self,
+        target: targets_module.Target,
+        copy_from: targets_module.Target | None,
+    ) -> web.StreamResponse | None:
+        """Send the request, and withdraw it if its prompt crashes targets.
+
+        Other targets may crash on the same prompt while the request waits for
+        its first event.
+
+        :param target: the target.
+        :param copy_from: as for :meth:`_send`.
+        :return: as for :meth:`_send`.
+        :raises Exception: the error that ends a request that is withdrawn.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(None) as limit:
+                self._withdraw = lambda: limit.reschedule(loop.time())
+                with self._context.quarantine.watch(
+                    self._service,
+                    self._inbound.shared_part_ids,
+                    self._withdraw,
+                ):
+                    return await self._send(target, copy_from)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            self._request_log.log("request.withdrawn", target=target.target_id)
+            raise self._final_error(QUARANTINED_DETAIL) from None
+
     async def _send(
         self,
         target: targets_module.Target,
@@ -605,6 +643,7 @@
         """Record that the target responded with at least one event."""
         if self._progress is not messages.Progress.EVENTS:
             self._progress = messages.Progress.EVENTS
+            self._context.quarantine.stop_watching(self._withdraw)
             self._context.quarantine.record_event(
                 self._service, self._inbound.shared_part_ids
             )
--- a/src/bulrushdale/routing/quarantine.py
+++ b/src/bulrushdale/routing/quarantine.py
@@ -8,6 +8,7 @@
 """
 
 from collections import abc
+import contextlib
 import dataclasses
 import logging
 
@@ -70,6 +71,7 @@
         "_revision",
         "_valid_until_ms",
         "_trials_until_ms",
+        "_watches",
     )
 
     def __init__(
@@ -87,6 +89,11 @@
         self._valid_until_ms = 0
         # Ends of the trials under way, by the parts on trial.
         self._trials_until_ms: dict[crash_evidence.Prompt, int] = {}
+        # Services and prompts of the requests that wait for an event, by their
+        # callback.
+        self._watches: dict[
+            abc.Callable[[], None], tuple[str, abc.Sequence[str]]
+        ] = {}
 
     def _evaluate(self) -> None:
         """Find the culprits again, if the evidence changed or settled."""
@@ -120,6 +127,43 @@
             if until_ms > now_ms
         }
         self._log_changes(previous)
+        self._withdraw([c for c in self._culprits if c not in previous])
+
+    def _withdraw(
+        self, culprits: abc.Sequence[crash_evidence.Culprit]
+    ) -> None:
+        """Call back the requests that wait at a target with these parts."""
+        if not culprits:
+            return
+        for withdraw, (service, part_ids) in list(self._watches.items()):
+            prompt = hash_parts(service, part_ids)
+            if any(culprit.parts <= prompt for culprit in culprits):
+                withdraw()
+
+    @contextlib.contextmanager
+    def watch(
+        self,
+        service: str,
+        part_ids: abc.Sequence[str],
+        withdraw: abc.Callable[[], None],
+    ) -> abc.Iterator[None]:
+        """Watch a request that waits at a target within the context.
+
+        :param service: the service that runs it.
+        :param part_ids: the shared parts of its prompt.
+        :param withdraw: called once it is known to crash its target, unless
+            :meth:`stop_watching` was called before.
+        """
+        if part_ids:
+            self._watches[withdraw] = (service, part_ids)
+        try:
+            yield
+        finally:
+            self.stop_watching(withdraw)
+
+    def stop_watching(self, withdraw: abc.Callable[[], None]) -> None:
+        """Stop watching a request, as it got an event or ended."""
+        self._watches.pop(withdraw, None)
 
     def _log_changes(
         self, previous: abc.Sequence[crash_evidence.Culprit]
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -6,6 +6,8 @@
 import aiohttp
 import pytest
 
+from bulrushdale.routing import crash_evidence
+from bulrushdale.routing import quarantine
 from examples.standins import scripted_target
 from tests import gateway_fixtures
 
@@ -159,3 +161,39 @@
     late = sound[len(sound) // 2 :]
     assert pool.late_requests() <= LATE_ALLOWED
     assert sum(late) >= len(late) * SERVED_SHARE
+
+
+async def test_request_that_waits_is_withdrawn_before_it_crashes_its_target(
+    pool, caller
+):
+    """It was sent before the crashes of other targets were known."""
+
+    async def wait(request, writer):
+        await asyncio.sleep(30)
+
+    for target in pool.deployment.targets:
+        target.script = wait
+    waiting = [
+        asyncio.create_task(
+            send(pool, caller, number, "/chat/x", *CHAINS[chain](0))
+        )
+        for number, chain in enumerate(["first_part", "last_shared_part"])
+    ]
+    await asyncio.sleep(0.2)
+    deadly = quarantine.hash_parts("oven", CHAINS["first_part"](0))
+    for number in range(quarantine.MIN_CRASHES):
+        pool.deployment.routers[0]._crash_evidence.record(
+            crash_evidence.CrashReport(
+                f"crashed{number}", 1, 5_000 - 1_000 * number, (tuple(deadly),)
+            ),
+            own=True,
+        )
+    withdrawn, other = waiting
+    async with asyncio.timeout(1):
+        response, _ = await withdrawn
+    assert response.status == 502
+    assert not other.done()
+    await asyncio.sleep(0.1)
+    closed = [name for t in pool.deployment.targets for name in t.closed]
+    assert closed == ["q0"]
+    other.cancel()
