Streams: an unframed stream that ends without an event is no success

Callers got 200 with an empty body when a target closed the connection in order behind the head of a stream without a length or chunks.

Cause: any orderly end of such a body counts as whole, and a stream without events isn't within an event. A target that goes down as it begins to answer ends just so.

Change: it counts as broken off, unless the caller has received an earlier part, as an engine may break off behind its last event.

--- a/src/bulrushdale/forwarding/attempt.py
+++ b/src/bulrushdale/forwarding/attempt.py
@@ -55,6 +55,15 @@
     head: messages.ResponseHead
     response: aiohttp.ClientResponse
 
+    @property
+    def framed(self) -> bool:
+        """Whether the response tells where its body ends.
+
+        Otherwise the body ends with the connection.
+        """
+        headers = self.response.headers
+        return "Content-Length" in headers or "Transfer-Encoding" in headers
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Oversized:
--- a/src/bulrushdale/forwarding/connections.py
+++ b/src/bulrushdale/forwarding/connections.py
@@ -1,5 +1,6 @@
 """HTTP client connections to targets, the store and other routers."""
 
+import asyncio
 import functools
 import logging
 import socket
@@ -49,6 +50,13 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
 
+def reset_on_close(transport: asyncio.BaseTransport) -> None:
+    """Make the end of a connection a reset, which drops unsent data."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
+
 def _make_socket(address: typing.Any) -> socket.socket:
     family, kind, proto, _, _ = address
     sock = socket.socket(family, kind, proto)
@@ -133,11 +141,7 @@
         """
         transport = self.transport
         if transport is not None and (self.awaiting_head or self.should_close):
-            sock = transport.get_extra_info("socket")
-            if sock is not None:
-                sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-                )
+            reset_on_close(transport)
         super().close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -637,8 +637,17 @@
                         "the stream ended within an event",
                         connection_lost=True,
                     )
+                if not opened.framed and self._is_empty():
+                    return attempt.OutcomeUnknown(
+                        "the stream ended without an event",
+                        connection_lost=True,
+                    )
                 return None
 
+    def _is_empty(self) -> bool:
+        """Return whether the caller has received no part of the stream."""
+        return self._response is None and self._inbound.resume_after is None
+
     def _record_progress(self) -> None:
         """Record that the target responded with at least one event."""
         if self._progress is not messages.Progress.EVENTS:
--- /dev/null
+++ b/tests/test_unframed_answers.py
@@ -0,0 +1,162 @@
+"""Responses without a length or chunks, which end with their connection."""
+
+import asyncio
+import socket
+import struct
+
+import aiohttp
+import pytest
+
+from examples.standins import scripted_target
+from tests import gateway_fixtures
+
+EVENTS = [scripted_target.event(number) for number in range(5)]
+WHOLE = b"".join(EVENTS)
+
+
+@pytest.fixture
+async def deployment():
+    """Start a store with a configuration, two targets and a router."""
+    async with gateway_fixtures.running_deployment("t1", "t2") as deployment:
+        yield deployment
+
+
+@pytest.fixture
+async def caller():
+    """Open an HTTP client session for callers."""
+    async with aiohttp.ClientSession() as session:
+        yield session
+
+
+def headers(request_id="q1"):
+    return {
+        "Host": "example.test",
+        "X-Request-Id": request_id,
+        "X-Deadline-Ms": "3000",
+        "Authorization": "Bearer key-1",
+    }
+
+
+def head(request, version="1.1"):
+    return (
+        f"HTTP/{version} 200 OK\r\nX-Server-Seal: seal\r\n"
+        f"X-Request-Id: {request.request_id}\r\n\r\n"
+    ).encode()
+
+
+def ending(body, how="close", version="1.1", pause_s=0.0):
+    """Return a script that sends a body and ends the connection."""
+
+    async def script(request, writer):
+        writer.write(head(request, version))
+        writer.write(body)
+        await writer.drain()
+        await asyncio.sleep(pause_s)
+        if how == "reset":
+            sock = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        return False
+
+    return script
+
+
+def set_scripts(deployment, first, second=gateway_fixtures.respond):
+    """Give the first request to any target one script, others another."""
+    seen = []
+
+    async def script(request, writer):
+        seen.append(request)
+        chosen = first if len(seen) == 1 else second
+        return await chosen(request, writer)
+
+    for target in deployment.targets:
+        target.script = script
+    return seen
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize("path", ["/plan/x", "/chat/x"])
+async def test_stream_that_ends_with_its_connection_is_whole(
+    deployment, caller, path, version
+):
+    seen = set_scripts(deployment, ending(WHOLE, version=version))
+    async with caller.post(deployment.url(path), headers=headers()) as answer:
+        assert await answer.read() == WHOLE
+    assert len(seen) == 1
+
+
+async def test_events_without_an_id_are_whole(deployment, caller):
+    set_scripts(deployment, ending(b"data: 1\n\ndata: 2\n\n"))
+    async with caller.post(
+        deployment.url("/chat/x"), headers=headers()
+    ) as answer:
+        assert await answer.read() == b"data: 1\n\ndata: 2\n\n"
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.05])
+@pytest.mark.parametrize(
+    ("body", "how"),
+    [
+        (WHOLE[:20], "close"),
+        (WHOLE[:-1], "close"),
+        (WHOLE, "reset"),
+        (b"".join(EVENTS[:2]), "reset"),
+        (b"", "reset"),
+        (b"", "close"),
+    ],
+)
+async def test_broken_stream_continues_at_another_target(
+    deployment, caller, body, how, pause_s
+):
+    """The reset may overtake events; none is lost or repeated."""
+    seen = set_scripts(deployment, ending(body, how, pause_s=pause_s))
+    async with caller.post(
+        deployment.url("/plan/x"), headers=headers()
+    ) as answer:
+        assert await answer.read() == WHOLE
+    assert len(seen) == 2
+
+
+@pytest.mark.parametrize(
+    ("body", "how"),
+    [(WHOLE[:20], "close"), (WHOLE, "reset"), (b"", "close")],
+)
+async def test_broken_stream_that_may_not_resume_is_no_success(
+    deployment, caller, body, how
+):
+    set_scripts(deployment, ending(body, how, pause_s=0.05))
+    try:
+        async with caller.post(
+            deployment.url("/chat/x"), headers=headers()
+        ) as answer:
+            await answer.read()
+            assert answer.status == 502
+    except aiohttp.ClientPayloadError:
+        assert body
+
+
+async def test_resumed_stream_may_have_no_further_event(deployment, caller):
+    """The first target broke off behind its last event."""
+    set_scripts(deployment, ending(WHOLE, "reset", pause_s=0.05), ending(b""))
+    async with caller.post(
+        deployment.url("/plan/x"), headers=headers()
+    ) as answer:
+        assert await answer.read() == WHOLE
+
+
+@pytest.mark.parametrize("how", ["close", "reset"])
+async def test_large_response_is_whole_only_without_a_reset(
+    deployment, caller, how
+):
+    body = bytes(3 << 20)
+    set_scripts(deployment, ending(body, how, pause_s=0.1))
+    try:
+        async with caller.post(
+            deployment.url("/order/x"), headers=headers()
+        ) as answer:
+            whole = len(await answer.read()) == len(body)
+    except aiohttp.ClientPayloadError:
+        whole = False
+    assert whole == (how == "close")
