Reset the connection of an HTTP/1.0 caller whose response breaks off

Such a caller took a stream that broke off for a complete one: without chunks its response ends with the connection, and the router closed it in order.

Cause: the end of a broken response was left to the closing of the connection, which tells something only behind chunks or a length. It is the same class as a target's answer without a length, seen from the other side.

Change: a started response that breaks off ends with a reset for callers of HTTP/1.0. The test failed before (no reset seen) and passes, as does the one of a whole response.

--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -8,6 +8,7 @@
 import multidict
 
 from bulrushdale.forwarding import attempt
+from bulrushdale.forwarding import connections
 from bulrushdale.forwarding import context as context_module
 from bulrushdale.forwarding import events
 from bulrushdale.forwarding import request_log as request_log_module
@@ -215,6 +216,7 @@
         """Return the error that ends the request without a full response."""
         if self._response is not None:
             self._request_log.log("request.cut", detail=detail)
+            self._break_off()
             return ConnectionResetError(detail)
         if self._may_have_run_at:
             late = self._remaining_ms() <= 0
@@ -235,6 +237,16 @@
             retry_after_ms = refusals.OTHER_ROUTER_RETRY_AFTER_MS
         return refusals.refuse(results.Code.NO_TARGET, detail, retry_after_ms)
 
+    def _break_off(self) -> None:
+        """Make sure that the started response doesn't look complete.
+
+        HTTP/1.0 has no chunks: the response ends with the connection, and only
+        a reset tells that it is incomplete.
+        """
+        transport = self._web_request.transport
+        if self._web_request.version < aiohttp.HttpVersion11 and transport:
+            connections.reset_on_close(transport)
+
     def _may_retry(self) -> bool:
         """Return whether the request may run at one more target.
 
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -160,3 +160,25 @@
     except aiohttp.ClientPayloadError:
         whole = False
     assert whole == (how == "close")
+
+
+@pytest.mark.parametrize("broken", [False, True])
+async def test_caller_of_http_1_0_can_tell_a_broken_stream(deployment, broken):
+    """Its response ends with the connection, so a broken one is reset."""
+    body = WHOLE[:-3] if broken else WHOLE
+    set_scripts(deployment, ending(body, pause_s=0.05))
+    port = deployment.routers[0].settings.caller_port
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    lines = "".join(f"{k}: {v}\r\n" for k, v in headers().items())
+    writer.write(f"POST /chat/x HTTP/1.0\r\n{lines}\r\n".encode())
+    received = b""
+    reset = False
+    try:
+        while data := await reader.read(1_000):
+            received += data
+    except ConnectionResetError:
+        reset = True
+    writer.close()
+    assert reset == broken
+    if not broken:
+        assert received.endswith(b"\r\n\r\n" + WHOLE)
