At-most-once test: build the context with its new parts

The test builds the context itself and failed with a TypeError since the crash detector and the quarantine are parts of it; what it checks is unchanged.

--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -13,14 +13,17 @@
 from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import attempt
 from bulrushdale.forwarding import context as context_module
+from bulrushdale.forwarding import crashes
 from bulrushdale.forwarding import metrics as metrics_module
 from bulrushdale.forwarding import proxy
 from bulrushdale import results
 from bulrushdale.routing import access
 from bulrushdale.routing import budget as budget_module
+from bulrushdale.routing import crash_evidence
 from bulrushdale.routing import messages
 from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import prefix_locations
+from bulrushdale.routing import quarantine
 from bulrushdale.routing import selection
 from bulrushdale.routing import targets as targets_module
 
@@ -114,6 +117,12 @@
         draining=lambda: False,
         metrics=METRICS,
         prober=FakeProber(),
+        crash_detector=crashes.CrashDetector(
+            FakeProber(), clock, lambda _: None
+        ),
+        quarantine=quarantine.Quarantine(
+            crash_evidence.CrashEvidence(clock), "r1", clock
+        ),
     )
     inbound = emulator.make_request("q1")
     admitted = access.AdmittedRequest(emulator.ROUTE, None, 1)
