Services: a response without a length that is reset is no outcome

A caller got, and every later request with its key would get, the part of a service's response that had arrived before the target reset the connection.

Cause: the composition with a catalogue used plain HTTP sessions, for which any end of the connection ends such a body; the router on the platform has had its own protocol for this since it met unframed answers. Found by looking for the same cause elsewhere.

Change: both compositions take connectors from forwarding/connections.

--- a/src/bulrushdale/daemon.py
+++ b/src/bulrushdale/daemon.py
@@ -26,6 +26,7 @@
 from bulrushdale.fleet import members as members_module
 from bulrushdale.fleet import targets as targets_module
 from bulrushdale import follower
+from bulrushdale.forwarding import connections
 from bulrushdale import peering as peering_module
 from bulrushdale.platform import log as log_module
 from bulrushdale.platform import store as store_module
@@ -47,9 +48,25 @@
 PROBE_STEP_MS = 250
 CLAIMS_INTERVAL_MS = 2_000
 IDLE_SERVERS_INTERVAL_MS = 30_000
+# Connections to targets and the store are kept for this long when idle.
+KEEP_ALIVE_MS = 20_000
 DRAIN_POLL_MS = 50
 
 
+def open_session(keep_alive: bool) -> aiohttp.ClientSession:
+    """Return an HTTP session to targets and the store.
+
+    :param keep_alive: whether connections are used for several requests.
+    """
+    if keep_alive:
+        connector = connections.make_connector(
+            keepalive_timeout=KEEP_ALIVE_MS / 1000
+        )
+    else:
+        connector = connections.make_connector(force_close=True)
+    return aiohttp.ClientSession(connector=connector)
+
+
 def build_context(
     settings: settings_module.Settings,
     clock: clock_module.Clock,
@@ -165,14 +182,10 @@
         self._probed_ms = 0
         self._stack = contextlib.AsyncExitStack()
         session = await self._stack.enter_async_context(
-            aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=20)
-            )
+            open_session(keep_alive=True)
         )
         at_most_once_session = await self._stack.enter_async_context(
-            aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, force_close=True)
-            )
+            open_session(keep_alive=False)
         )
         self._context, frame_handler = build_context(
             self.settings, self._clock, session, at_most_once_session
--- a/src/bulrushdale/forwarding/connections.py
+++ b/src/bulrushdale/forwarding/connections.py
@@ -199,6 +199,18 @@
     return Response
 
 
+def make_connector(**options: typing.Any) -> aiohttp.TCPConnector:
+    """Return a connector that takes no broken response for a complete one.
+
+    :param options: as for :class:`aiohttp.TCPConnector`.
+    """
+    connector = aiohttp.TCPConnector(limit=0, **options)
+    connector._factory = functools.partial(  # type: ignore[assignment]
+        _Protocol, loop=connector._loop
+    )
+    return connector
+
+
 def open_session(
     idle_limit_ms: int = IDLE_LIMIT_MS,
     response_class: type[aiohttp.ClientResponse] = aiohttp.ClientResponse,
@@ -209,16 +221,11 @@
         reused any more, in ms.
     :param response_class: class of the responses.
     """
-    connector = aiohttp.TCPConnector(
-        limit=0,
-        keepalive_timeout=idle_limit_ms / 1000,
-        socket_factory=_make_socket,
-    )
-    connector._factory = functools.partial(  # type: ignore[assignment]
-        _Protocol, loop=connector._loop
-    )
     session = aiohttp.ClientSession(
-        connector=connector,
+        connector=make_connector(
+            keepalive_timeout=idle_limit_ms / 1000,
+            socket_factory=_make_socket,
+        ),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         response_class=response_class,
