Save quarantines in the store, for the loss of all routers

Cause: crashes are known to routers only, and no VM has a disk.

Change: the router that reads the store writes the crashes behind each quarantine to a topic of ours, in one of 16 keys, and clears it when the quarantine ends; a router reads them at its start. Crashes expire by the time of day in the record.

The test of a fleet that is replaced whole failed before: the first request to the new router crashed a target (502 instead of 503).

--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -28,6 +28,7 @@
 from bulrushdale.platform import configuration
 from bulrushdale.platform import headers
 from bulrushdale.platform import listings
+from bulrushdale.platform import quarantine_store
 from bulrushdale.platform import registry
 from bulrushdale.platform import store as store_module
 from bulrushdale.routing import budget as budget_module
@@ -322,6 +323,12 @@
                 self._clock,
                 self._discovery_attempted.set,
             ),
+            quarantine_store.QuarantineStore(
+                self._store,
+                self._quarantine,
+                self._crash_evidence,
+                self._clock,
+            ).run(lambda: self._peers.upstream() is None),
             self._run_every(
                 peers_module.REPORT_INTERVAL_MS, self._send_report
             ),
--- /dev/null
+++ b/src/bulrushdale/platform/quarantine_store.py
@@ -0,0 +1,173 @@
+"""Saves quarantines in the platform's store.
+
+Routers tell each other of crashes, and one that starts learns of quarantines
+from the others. Only the store knows them when all routers were down, and
+without it each loss of all routers would cost several targets again.
+"""
+
+from collections import abc
+import logging
+import typing
+
+import orjson
+
+from bulrushdale import clock as clock_module
+from bulrushdale.platform import store as store_module
+from bulrushdale import records as records_module
+from bulrushdale.routing import crash_evidence
+from bulrushdale.routing import quarantine as quarantine_module
+
+LOG = logging.getLogger(__name__)
+
+# Quarantines are saved in this many keys, which bounds the topic. Two of them
+# in one key replace each other.
+MAX_KEYS = 16
+# Crashes saved per quarantine, the latest ones; a few more than it takes.
+MAX_CRASHES = 6
+SAVE_INTERVAL_MS = 1_000
+# Delay before a read is retried if the store fails at the start.
+RETRY_DELAY_MS = 1_000
+_RELEASED = b"[]"
+
+# What was saved under a key: the parts and the number of their crashes.
+_Saved = tuple[crash_evidence.Prompt, int]
+
+
+def _key(culprit: crash_evidence.Culprit) -> str:
+    return str(min(culprit.parts) % MAX_KEYS)
+
+
+def _encode(
+    culprit: crash_evidence.Culprit,
+    crashes: abc.Sequence[crash_evidence.CrashReport],
+    wall_ms: int,
+) -> bytes:
+    """Encode the crashes that a culprit explains."""
+    return orjson.dumps(
+        [
+            [
+                crash.target_id,
+                crash.started_ms,
+                wall_ms - crash.age_ms,
+                sorted(culprit.parts),
+            ]
+            for crash in crashes[:MAX_CRASHES]
+        ]
+    )
+
+
+def _decode(value: bytes, wall_ms: int) -> list[crash_evidence.CrashReport]:
+    """Decode saved crashes.
+
+    :raises ValueError: if the value holds no valid crashes.
+    """
+    try:
+        return [
+            crash_evidence.CrashReport(
+                str(target_id),
+                int(started_ms),
+                max(0, wall_ms - int(crashed_wall_ms)),
+                (tuple(int(part) for part in parts),),
+            )
+            for target_id, started_ms, crashed_wall_ms, parts in orjson.loads(
+                value
+            )
+        ]
+    except TypeError as error:
+        raise ValueError(repr(error)) from error
+
+
+class QuarantineStore:
+    """Saves the quarantines of this router, and restores those of others.
+
+    :param store: the platform's store.
+    :param quarantine: the quarantines.
+    :param evidence: receives the restored crashes.
+    :param clock: the clock.
+    """
+
+    __slots__ = ("_store", "_quarantine", "_evidence", "_clock", "_saved")
+
+    def __init__(
+        self,
+        store: store_module.Store,
+        quarantine: quarantine_module.Quarantine,
+        evidence: crash_evidence.CrashEvidence,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._store = store
+        self._quarantine = quarantine
+        self._evidence = evidence
+        self._clock = clock
+        self._saved: dict[str, _Saved] = {}
+
+    async def run(self, is_writer: abc.Callable[[], bool]) -> None:
+        """Restore the quarantines, then save them until cancelled.
+
+        :param is_writer: whether this router saves for the fleet.
+        """
+        while not await self.restore():
+            await self._clock.sleep_ms(RETRY_DELAY_MS)
+        while True:
+            await self._clock.sleep_ms(SAVE_INTERVAL_MS)
+            if is_writer():
+                await self.save()
+
+    async def restore(self) -> bool:
+        """Record the saved crashes; return whether the store answered."""
+        topic = store_module.QUARANTINE_TOPIC
+        try:
+            page = await self._store.read_newest(topic)
+        except records_module.SourceError as error:
+            LOG.warning(
+                "quarantines not restored",
+                extra={"event": "prompt.not_restored", "reason": str(error)},
+            )
+            return False
+        for record in page.records:
+            try:
+                crashes = _decode(record.value or b"", self._clock.wall_ms())
+            except ValueError as error:
+                LOG.warning(
+                    "invalid quarantine in the store skipped",
+                    extra={"event": "store.bad_record", "reason": str(error)},
+                )
+                continue
+            for crash in crashes:
+                self._evidence.record(crash)
+        for culprit in self._quarantine.active():
+            self._saved[_key(culprit)] = (culprit.parts, culprit.crashes)
+        return True
+
+    async def save(self) -> None:
+        """Save the quarantines that changed, and clear those that ended."""
+        culprits = {_key(c): c for c in self._quarantine.active()}
+        for key, culprit in culprits.items():
+            saved = (culprit.parts, culprit.crashes)
+            if self._saved.get(key) != saved:
+                crashes = self._quarantine.crashes_behind(culprit)
+                value = _encode(culprit, crashes, self._clock.wall_ms())
+                if await self._put(key, value, culprit.crashes):
+                    self._saved[key] = saved
+        for key in self._saved.keys() - culprits.keys():
+            if await self._put(key, _RELEASED, 0):
+                del self._saved[key]
+
+    async def _put(self, key: str, value: bytes, crashes: int) -> bool:
+        """Write a value; return whether the store took it."""
+        fields: dict[str, typing.Any] = {"key": key, "crashes": crashes}
+        topic = store_module.QUARANTINE_TOPIC
+        try:
+            await self._store.put(topic, key, value)
+        except records_module.SourceError as error:
+            LOG.warning(
+                "quarantine not saved",
+                extra={
+                    "event": "prompt.not_saved",
+                    "reason": str(error),
+                    **fields,
+                },
+            )
+            return False
+        LOG.info("quarantine saved", extra={"event": "prompt.saved", **fields})
+        return True
--- a/src/bulrushdale/platform/store.py
+++ b/src/bulrushdale/platform/store.py
@@ -39,6 +39,9 @@
 # This topic is the project's own, not the platform's. Routers discover each
 # other through it.
 ROUTERS_TOPIC = "keyed.routers"
+# Also the project's own: the crashes behind quarantines, for routers that
+# start when no other router is up.
+QUARANTINE_TOPIC = "keyed.quarantine"
 
 _LENGTH_BYTES = 4
 # A response to a read starts with the end offset and the oldest offset that
--- a/src/bulrushdale/routing/budget.py
+++ b/src/bulrushdale/routing/budget.py
@@ -12,8 +12,8 @@
 # Share of the allowance that a router uses. The rest covers requests that the
 # service counts in another window than the router.
 USABLE_SHARE = 0.8
-# Share of the slack that a router uses in its first window: what it sent before
-# a restart still counts at the services, and all may restart at once.
+# Share of the slack that a router uses in its first window. What it sent
+# before a restart still counts at the services, and all may restart at once.
 STARTING_SLACK_SHARE = 0.25
 
 
--- a/src/bulrushdale/routing/quarantine.py
+++ b/src/bulrushdale/routing/quarantine.py
@@ -260,6 +260,14 @@
         self._evaluate()
         return list(self._culprits)
 
+    def crashes_behind(
+        self, culprit: crash_evidence.Culprit
+    ) -> tuple[crash_evidence.CrashReport, ...]:
+        """Return the crashes that a culprit explains, the latest first."""
+        return self._evidence.reports(
+            lambda crash: any(culprit.parts <= p for p in crash.prompts)
+        )
+
     def crashes_to_report(self) -> tuple[crash_evidence.CrashReport, ...]:
         """Return the crashes to report to other routers now."""
         now_ms = self._clock.now_ms()
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -197,3 +197,25 @@
     closed = [name for t in pool.deployment.targets for name in t.closed]
     assert closed == ["q0"]
     other.cancel()
+
+
+async def test_quarantine_lasts_when_all_routers_are_replaced(pool, caller):
+    deployment = pool.deployment
+    parts = CHAINS["last_shared_part"](0)
+    for number in range(12):
+        await send(pool, caller, number, "/chat/x", *parts)
+        await asyncio.sleep(0.2)
+    # The router that reads the store saves quarantines once a second.
+    await asyncio.sleep(1.5)
+    while deployment.routers:
+        await deployment.routers.pop().stop()
+    await deployment.add_router(router="r3")
+    await deployment.wait_ready(deployment.routers[0])
+    await asyncio.sleep(0.2)
+    crashes = len(pool.crashes_s)
+    response, _ = await send(pool, caller, 20, "/chat/x", *parts)
+    assert response.status == 503
+    assert float(response.headers["Retry-After"]) > 1
+    assert len(pool.crashes_s) == crashes
+    _, complete = await send(pool, caller, 21, "/chat/x", *parts[:-1])
+    assert complete
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -4,107 +4,40 @@
 
 import pytest
 
-from bulrushdale.forwarding import peer_transport
 from bulrushdale.routing import crash_evidence
 from bulrushdale.routing import quarantine as quarantine_module
-from bulrushdale.routing import reports
-
-SERVICE = "oven"
-DEADLY = ("first", "book", "dead")
-
-
-class Router:
-    """The evidence and the decisions of one router."""
-
-    def __init__(self, name, clock):
-        self.clock = clock
-        self.evidence = crash_evidence.CrashEvidence(clock)
-        self.quarantine = quarantine_module.Quarantine(
-            self.evidence, name, clock
-        )
-
-    def crash(self, number, *prompts, age_ms=0):
-        """Record the crash of a target with these prompts begun."""
-        self.evidence.record(
-            crash_report(number, *prompts, age_ms=age_ms), True
-        )
-
-    def withholds(self, *part_ids, service=SERVICE):
-        return self.quarantine.check(service, part_ids) is not None
-
-    def answer(self, *part_ids):
-        return self.quarantine.record_event(SERVICE, part_ids)
-
-    def send_to(self, *others):
-        """Deliver a report, encoded as between routers."""
-        report = reports.Report(
-            "10.0.0.1:1",
-            "dc1",
-            1,
-            1,
-            1,
-            False,
-            0,
-            {},
-            {},
-            {},
-            crashes=self.quarantine.crashes_to_report(),
-            cleared=self.evidence.recently_cleared(),
-        )
-        report = peer_transport.decode_report(
-            peer_transport.encode_report(report)
-        )
-        for other in others:
-            for crash in report.crashes:
-                other.evidence.record(crash)
-            other.evidence.clear(report.cleared)
-
-
-def crash_report(number, *prompts, age_ms=0):
-    return crash_evidence.CrashReport(
-        f"t{number}",
-        1,
-        age_ms,
-        tuple(
-            tuple(quarantine_module.hash_parts(SERVICE, prompt))
-            for prompt in prompts
-        ),
-    )
+from tests import crash_fixtures
 
 
 @pytest.fixture
 def router(clock):
-    return Router("r1", clock)
+    return crash_fixtures.Router("r1", clock)
 
 
 @pytest.fixture
 def other(clock):
-    return Router("r2", clock)
-
-
-def crash_repeatedly(router, *prompts, count=3, from_number=0):
-    for number in range(from_number, from_number + count):
-        router.crash(number, *prompts)
-        router.clock.advance(500)
+    return crash_fixtures.Router("r2", clock)
 
 
 def test_part_of_several_crashes_is_withheld(router):
-    crash_repeatedly(router, DEADLY, count=2)
-    assert not router.withholds(*DEADLY)
-    crash_repeatedly(router, DEADLY, count=1, from_number=2)
-    assert router.withholds(*DEADLY)
+    crash_fixtures.crash_repeatedly(router, crash_fixtures.DEADLY, count=2)
+    assert not router.withholds(*crash_fixtures.DEADLY)
+    crash_fixtures.crash_repeatedly(
+        router, crash_fixtures.DEADLY, count=1, from_number=2
+    )
+    assert router.withholds(*crash_fixtures.DEADLY)
     assert router.withholds("first", "book", "dead", "session")
 
 
 def test_prompts_that_share_only_some_parts_are_not_withheld(router):
-    crash_repeatedly(router, DEADLY)
+    crash_fixtures.crash_repeatedly(router, crash_fixtures.DEADLY)
     assert not router.withholds("first", "book")
     assert not router.withholds("first", "other", "dead2")
     assert not router.withholds("book")
 
 
 def test_quarantine_narrows_to_the_part_that_never_gets_an_event(router):
-    crash_repeatedly(router, DEADLY)
+    crash_fixtures.crash_repeatedly(router, crash_fixtures.DEADLY)
     assert not router.withholds("other", "dead")
     assert router.answer("first", "book")
     assert router.withholds("other", "dead")
@@ -133,22 +66,24 @@
 def test_prompts_that_happened_to_be_there_are_not_withheld(router):
     """A popular part is at each crash, beside the one that explains them."""
     for number in range(4):
-        router.crash(number, DEADLY, ("first", f"b{number}"))
+        router.crash(number, crash_fixtures.DEADLY, ("first", f"b{number}"))
         router.clock.advance(500)
-    assert router.withholds(*DEADLY)
+    assert router.withholds(*crash_fixtures.DEADLY)
     for number in range(4):
         assert not router.withholds("first", f"b{number}")
 
 
 def test_event_after_a_crash_clears_a_part(router):
-    crash_repeatedly(router, ("first", "book"), count=2)
+    crash_fixtures.crash_repeatedly(router, ("first", "book"), count=2)
     router.answer("first", "book")
-    crash_repeatedly(router, ("first", "book"), count=2, from_number=2)
+    crash_fixtures.crash_repeatedly(
+        router, ("first", "book"), count=2, from_number=2
+    )
     assert not router.withholds("first", "book")
 
 
 def test_event_ends_a_quarantine(router):
-    crash_repeatedly(router, ("first", "book"))
+    crash_fixtures.crash_repeatedly(router, ("first", "book"))
     assert router.withholds("first", "book")
     router.answer("first", "book")
     assert not router.withholds("first", "book")
@@ -164,25 +99,33 @@
 
 
 def test_two_parts_crash_targets_at_the_same_time(router):
-    crash_repeatedly(router, DEADLY)
-    crash_repeatedly(router, ("f2", "dead2"), count=4, from_number=3)
-    assert router.withholds(*DEADLY)
+    crash_fixtures.crash_repeatedly(router, crash_fixtures.DEADLY)
+    crash_fixtures.crash_repeatedly(
+        router, ("f2", "dead2"), count=4, from_number=3
+    )
+    assert router.withholds(*crash_fixtures.DEADLY)
     assert router.withholds("f2", "dead2")
     assert not router.withholds("first", "dead3")
 
 
 def test_parts_of_another_service_are_not_withheld(router):
-    crash_repeatedly(router, DEADLY)
-    assert not router.withholds(*DEADLY, service="other")
+    crash_fixtures.crash_repeatedly(router, crash_fixtures.DEADLY)
+    assert not router.withholds(*crash_fixtures.DEADLY, service="other")
 
 
 def test_request_is_not_repeated_after_two_crashes(router):
-    router.crash(0, DEADLY)
-    assert router.quarantine.may_repeat(SERVICE, DEADLY)
+    router.crash(0, crash_fixtures.DEADLY)
+    assert router.quarantine.may_repeat(
+        crash_fixtures.SERVICE, crash_fixtures.DEADLY
+    )
     router.clock.advance(200)
-    router.crash(1, DEADLY)
-    assert not router.quarantine.may_repeat(SERVICE, DEADLY)
-    assert router.quarantine.may_repeat(SERVICE, ("first", "book"))
+    router.crash(1, crash_fixtures.DEADLY)
+    assert not router.quarantine.may_repeat(
+        crash_fixtures.SERVICE, crash_fixtures.DEADLY
+    )
+    assert router.quarantine.may_repeat(
+        crash_fixtures.SERVICE, ("first", "book")
+    )
 
 
 def quarantine_ms(router, prompt):
@@ -194,31 +137,36 @@
 
 
 def test_one_request_at_a_time_passes_after_a_quarantine(router):
-    crash_repeatedly(router, DEADLY)
-    passed_ms = quarantine_ms(router, DEADLY)
+    crash_fixtures.crash_repeatedly(router, crash_fixtures.DEADLY)
+    passed_ms = quarantine_ms(router, crash_fixtures.DEADLY)
     first_ms = quarantine_module.QUARANTINE_MS
     assert first_ms * 0.9 <= passed_ms <= first_ms * 1.6
-    assert router.withholds(*DEADLY)
-    router.crash(10, DEADLY)
+    assert router.withholds(*crash_fixtures.DEADLY)
+    router.crash(10, crash_fixtures.DEADLY)
     router.clock.advance(1_000)
-    assert quarantine_ms(router, DEADLY) >= first_ms * 1.9
-    router.answer(*DEADLY)
-    assert not router.withholds(*DEADLY)
-    assert not router.withholds(*DEADLY)
+    assert quarantine_ms(router, crash_fixtures.DEADLY) >= first_ms * 1.9
+    router.answer(*crash_fixtures.DEADLY)
+    assert not router.withholds(*crash_fixtures.DEADLY)
+    assert not router.withholds(*crash_fixtures.DEADLY)
 
 
 def test_trial_without_a_result_is_followed_by_another(router):
-    crash_repeatedly(router, DEADLY)
-    quarantine_ms(router, DEADLY)
-    assert quarantine_ms(router, DEADLY) >= quarantine_module.TRIAL_MS - 1_000
+    crash_fixtures.crash_repeatedly(router, crash_fixtures.DEADLY)
+    quarantine_ms(router, crash_fixtures.DEADLY)
+    assert (
+        quarantine_ms(router, crash_fixtures.DEADLY)
+        >= quarantine_module.TRIAL_MS - 1_000
+    )
 
 
 def test_routers_end_a_quarantine_at_different_times(clock):
     ends_ms = []
     for number in range(20):
-        router = Router(f"r{number}", clock)
+        router = crash_fixtures.Router(f"r{number}", clock)
         for crash in range(3):
-            router.crash(crash, DEADLY, age_ms=10_000 + 1_000 * crash)
+            router.crash(
+                crash, crash_fixtures.DEADLY, age_ms=10_000 + 1_000 * crash
+            )
         (culprit,) = router.quarantine.active()
         ends_ms.append(
             quarantine_module.quarantine_end_ms(culprit, f"r{number}")
@@ -227,28 +175,28 @@
 
 
 def test_crashes_of_all_routers_count(router, other, clock):
-    router.crash(0, DEADLY)
+    router.crash(0, crash_fixtures.DEADLY)
     router.send_to(other)
     clock.advance(500)
-    other.crash(1, DEADLY)
+    other.crash(1, crash_fixtures.DEADLY)
     other.send_to(router)
     clock.advance(500)
-    router.crash(2, DEADLY)
+    router.crash(2, crash_fixtures.DEADLY)
     router.send_to(other)
     clock.advance(500)
-    assert router.withholds(*DEADLY)
-    assert other.withholds(*DEADLY)
+    assert router.withholds(*crash_fixtures.DEADLY)
+    assert other.withholds(*crash_fixtures.DEADLY)
 
 
 def test_router_that_started_later_learns_of_a_quarantine(
     router, other, clock
 ):
-    crash_repeatedly(router, DEADLY)
+    crash_fixtures.crash_repeatedly(router, crash_fixtures.DEADLY)
     clock.advance(10_000)
     for _ in range(16):
         router.send_to(other)
         clock.advance(250)
-    assert other.withholds(*DEADLY)
+    assert other.withholds(*crash_fixtures.DEADLY)
 
 
 def test_part_that_another_router_cleared_is_not_blamed(router, other, clock):
@@ -265,17 +213,19 @@
 def test_late_report_of_an_old_crash_brings_no_cleared_part_back(
     router, clock
 ):
-    late = crash_report(0, ("first", "book"))
+    late = crash_fixtures.crash_report(0, ("first", "book"))
     router.evidence.record(late)
     clock.advance(500)
     router.answer("first", "book")
     clock.advance(1_500)
-    router.evidence.record(crash_report(0, ("first", "book"), age_ms=2_000))
+    router.evidence.record(
+        crash_fixtures.crash_report(0, ("first", "book"), age_ms=2_000)
+    )
     assert not router.evidence
 
 
 def test_routers_do_not_keep_old_crashes_alive(router, other, clock):
-    crash_repeatedly(router, DEADLY)
+    crash_fixtures.crash_repeatedly(router, crash_fixtures.DEADLY)
     for _ in range(crash_evidence.CRASH_TTL_MS // 1_000 + 20):
         router.send_to(other)
         other.send_to(router)
@@ -314,7 +264,7 @@
     callers repeat those at another target.
     """
     draw = random.Random(seed)
-    router = Router("r1", clock)
+    router = crash_fixtures.Router("r1", clock)
     targets = 6
     prompts = [("first", f"b{n // 4}", f"c{n}") for n in range(40)]
     running = []
