Crash evidence: bound the parts in all

Finding culprits took 100 to 150 ms at the bounds of the evidence (128 crashes of 8 prompts of 32 parts), in the loop that relays tokens.

--- a/src/bulrushdale/routing/crash_evidence.py
+++ b/src/bulrushdale/routing/crash_evidence.py
@@ -27,6 +27,8 @@
 MAX_PROMPTS = 8
 # Parts remembered per prompt, the last ones of a long chat.
 MAX_PARTS = 32
+# Parts remembered in all, which bounds the time to find culprits to some 20 ms.
+MAX_EVIDENCE_PARTS = 4_096
 # Crashes within this time count once: a rack or a data centre that fails takes
 # down many targets at the same time, and any popular part with them.
 SIMULTANEOUS_MS = 100
@@ -94,6 +96,11 @@
         self.prompts: set[Prompt] = set()
         self.own = own
 
+    @property
+    def size(self) -> int:
+        """Number of parts in all prompts."""
+        return sum(map(len, self.prompts))
+
     def add(self, prompts: abc.Iterable[Prompt]) -> bool:
         """Add prompts up to the maximum; return whether any is new."""
         known = len(self.prompts)
@@ -183,8 +190,14 @@
             return
         self._crashes[key] = crash
         self.revision += 1
-        if len(self._crashes) > MAX_CRASHES:
-            self._crashes.popitem(last=False)
+        self._evict()
+
+    def _evict(self) -> None:
+        """Forget the earliest crashes above the maximum."""
+        parts = sum(crash.size for crash in self._crashes.values())
+        while parts > MAX_EVIDENCE_PARTS or len(self._crashes) > MAX_CRASHES:
+            _, evicted = self._crashes.popitem(last=False)
+            parts -= evicted.size
 
     def clear(self, parts: abc.Collection[int]) -> bool:
         """Clear parts of all crashes so far, as they got an event since.
@@ -232,7 +245,7 @@
         for (target_id, started_ms), crash in reversed(self._crashes.items()):
             if not is_reported(crash):
                 continue
-            parts += sum(map(len, crash.prompts))
+            parts += crash.size
             if found and parts > MAX_REPORTED_PARTS:
                 break
             prompts = tuple(tuple(sorted(p)) for p in crash.prompts)
