Saved quarantines: only the router that reads the store calls it

Change: the router that reads the store for the fleet restores and saves, or one that hears of no other after half a second; the others learn from its reports, which name restored crashes like new ones.

--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -54,6 +54,8 @@
 # would take one read per heartbeat.
 TARGETS_INTERVAL_MS = 600
 EXPIRE_INTERVAL_MS = 250
+# Routers that started together have reported to each other by this time.
+ALONE_AFTER_MS = 500
 # The store lists the other routers within about 20 ms; they provide a first
 # copy of each topic. If the list doesn't arrive in time, this router reads the
 # store itself.
@@ -201,6 +203,7 @@
         self._discovery_attempted = asyncio.Event()
         self._sequence = 0
         self._started_ms = clock.wall_ms()
+        self._up_since_ms = clock.now_ms()
         self._context = context_module.Context(
             clock=clock,
             codec=context_module.Codec(
@@ -269,7 +272,7 @@
                     for part_ids in crash.prompts
                 ),
             ),
-            own=True,
+            announce=True,
         )
         self._metrics.target_crashes.record(
             1, {"service": crash.target.listing.service}
@@ -323,12 +326,7 @@
                 self._clock,
                 self._discovery_attempted.set,
             ),
-            quarantine_store.QuarantineStore(
-                self._store,
-                self._quarantine,
-                self._crash_evidence,
-                self._clock,
-            ).run(lambda: self._peers.upstream() is None),
+            self._keep_quarantines(),
             self._run_every(
                 peers_module.REPORT_INTERVAL_MS, self._send_report
             ),
@@ -372,6 +370,23 @@
             self._clock,
         )
 
+    async def _keep_quarantines(self) -> None:
+        """Keep quarantines in the store, once other routers may be known."""
+        await self._discovery_attempted.wait()
+        await quarantine_store.QuarantineStore(
+            self._store, self._quarantine, self._crash_evidence, self._clock
+        ).run(self._reads_store)
+
+    def _reads_store(self) -> bool:
+        """Return whether this router reads the store for the fleet.
+
+        One that hears of no other router does, once the others would have
+        reported.
+        """
+        uptime_ms = self._clock.now_ms() - self._up_since_ms
+        is_alone = not self._peers.live() and uptime_ms > ALONE_AFTER_MS
+        return is_alone or self._peers.upstream() is None
+
     async def _run_every(
         self, interval_ms: int, job: abc.Callable[[], abc.Awaitable[None]]
     ) -> None:
--- a/src/bulrushdale/platform/quarantine_store.py
+++ b/src/bulrushdale/platform/quarantine_store.py
@@ -24,9 +24,7 @@
 MAX_KEYS = 16
 # Crashes saved per quarantine, the latest ones; a few more than it takes.
 MAX_CRASHES = 6
-SAVE_INTERVAL_MS = 1_000
-# Delay before a read is retried if the store fails at the start.
-RETRY_DELAY_MS = 1_000
+CHECK_INTERVAL_MS = 500
 _RELEASED = b"[]"
 
 # What was saved under a key: the parts and the number of their crashes.
@@ -101,17 +99,22 @@
         self._clock = clock
         self._saved: dict[str, _Saved] = {}
 
-    async def run(self, is_writer: abc.Callable[[], bool]) -> None:
-        """Restore the quarantines, then save them until cancelled.
+    async def run(self, is_reader: abc.Callable[[], bool]) -> None:
+        """Restore and save the quarantines for the fleet until cancelled.
 
-        :param is_writer: whether this router saves for the fleet.
+        Only the router that reads the store for the others does so; each call
+        costs money. The others learn of crashes from its reports.
+
+        :param is_reader: whether this router reads the store now.
         """
-        while not await self.restore():
-            await self._clock.sleep_ms(RETRY_DELAY_MS)
+        restored = False
         while True:
-            await self._clock.sleep_ms(SAVE_INTERVAL_MS)
-            if is_writer():
-                await self.save()
+            if is_reader():
+                if restored:
+                    await self.save()
+                else:
+                    restored = await self.restore()
+            await self._clock.sleep_ms(CHECK_INTERVAL_MS)
 
     async def restore(self) -> bool:
         """Record the saved crashes; return whether the store answered."""
@@ -134,7 +137,7 @@
                 )
                 continue
             for crash in crashes:
-                self._evidence.record(crash)
+                self._evidence.record(crash, announce=True)
         for culprit in self._quarantine.active():
             self._saved[_key(culprit)] = (culprit.parts, culprit.crashes)
         return True
--- a/src/bulrushdale/routing/crash_evidence.py
+++ b/src/bulrushdale/routing/crash_evidence.py
@@ -85,16 +85,16 @@
 
     :ivar prompts: the prompts under suspicion, without cleared parts; crashes
         without any are forgotten.
-    :ivar own: whether this router saw the crash itself.
+    :ivar announced: whether this router tells the others of it.
     """
 
-    __slots__ = ("crashed_ms", "learned_ms", "prompts", "own")
+    __slots__ = ("crashed_ms", "learned_ms", "prompts", "announced")
 
-    def __init__(self, crashed_ms: int, learned_ms: int, own: bool) -> None:
+    def __init__(self, crashed_ms: int, learned_ms: int) -> None:
         self.crashed_ms = crashed_ms
         self.learned_ms = learned_ms
         self.prompts: set[Prompt] = set()
-        self.own = own
+        self.announced = False
 
     @property
     def size(self) -> int:
@@ -162,21 +162,22 @@
             )
         return self._suspected
 
-    def record(self, report: CrashReport, own: bool = False) -> None:
+    def record(self, report: CrashReport, announce: bool = False) -> None:
         """Record a crash, or more prompts of a known one.
 
         :param report: the crash.
-        :param own: whether this router saw the crash itself.
+        :param announce: whether to tell the other routers of it, as no other
+            router reported it.
         """
-        if not own and report.age_ms > MAX_ACCEPTED_AGE_MS:
+        if report.age_ms > MAX_ACCEPTED_AGE_MS:
             return
         now_ms = self._clock.now_ms()
         crashed_ms = now_ms - max(0, report.age_ms)
         key = (report.target_id, report.started_ms)
         crash = self._crashes.get(key)
         if crash is None:
-            crash = Crash(crashed_ms, now_ms, own)
-        crash.own |= own
+            crash = Crash(crashed_ms, now_ms)
+        crash.announced |= announce
         crash.crashed_ms = min(crash.crashed_ms, crashed_ms)
         changed = crash.add(
             frozenset(
--- a/src/bulrushdale/routing/quarantine.py
+++ b/src/bulrushdale/routing/quarantine.py
@@ -276,7 +276,7 @@
 
         def is_reported(crash: crash_evidence.Crash) -> bool:
             age_ms = now_ms - crash.learned_ms
-            if crash.own and age_ms < crash_evidence.REPORTED_FOR_MS:
+            if crash.announced and age_ms < crash_evidence.REPORTED_FOR_MS:
                 return True
             return repeats and any(
                 culprit.parts <= prompt
