Prompt guard: what a request's attempts say for and against its prompt

The proxy had grown by crashes, quarantine and withdrawal; a guard for each request holds them now, with no change of decisions. The review for this found, each with a test:

- A second withdrawal of the same request, when another crash makes the quarantine longer, would have raised in whatever request was evaluated then.
- A quarantine whose last evidence was cleared was not logged as released.
- Totals of collectors were bounded in crashes, not in parts: 128 crashes with long prompts would not have fitted a datagram, so that load was lost with them.

A test plays a crash through a fleet of 210 routers: all know it in two seconds.

--- /dev/null
+++ b/src/bulrushdale/forwarding/prompt_guard.py
@@ -0,0 +1,107 @@
+"""Guards targets against the prompt of one request."""
+
+import asyncio
+from collections import abc
+import contextlib
+
+from bulrushdale.forwarding import crashes
+from bulrushdale.routing import messages
+from bulrushdale.routing import quarantine as quarantine_module
+from bulrushdale.routing import targets as targets_module
+
+
+class WithdrawnError(Exception):
+    """The prompt got into quarantine while the request waited at a target."""
+
+
+class PromptGuard:
+    """Follows the attempts of a request, as evidence for and against it.
+
+    :param quarantine: decides which requests are withheld.
+    :param crash_detector: finds out which targets crashed.
+    :param service: the service that is to run the request.
+    :param part_ids: the shared parts of its prompt.
+
+    :ivar progress: how far the target got with the response.
+    """
+
+    __slots__ = (
+        "_quarantine",
+        "_crash_detector",
+        "_service",
+        "_part_ids",
+        "_withdraw",
+        "progress",
+    )
+
+    def __init__(
+        self,
+        quarantine: quarantine_module.Quarantine,
+        crash_detector: crashes.CrashDetector,
+        service: str,
+        part_ids: tuple[str, ...],
+    ) -> None:
+        self._quarantine = quarantine
+        self._crash_detector = crash_detector
+        self._service = service
+        self._part_ids = part_ids
+        self._withdraw: abc.Callable[[], None] | None = None
+        self.progress = messages.Progress.SENT
+
+    def check(self) -> quarantine_module.Withheld | None:
+        """Return why the request is withheld; none if it may be sent now."""
+        return self._quarantine.check(self._service, self._part_ids)
+
+    @contextlib.asynccontextmanager
+    async def attempt(self) -> abc.AsyncIterator[None]:
+        """Watch an attempt, and withdraw it if its prompt crashes targets.
+
+        Other targets may crash on the same prompt while the request waits for
+        its first event.
+
+        :raises WithdrawnError: if the attempt was withdrawn.
+        """
+        loop = asyncio.get_running_loop()
+        self.progress = messages.Progress.SENT
+        try:
+            async with asyncio.timeout(None) as limit:
+                self._withdraw = lambda: limit.reschedule(loop.time())
+                with self._quarantine.watch(
+                    self._service, self._part_ids, self._withdraw
+                ):
+                    yield
+        except TimeoutError:
+            if limit.expired():
+                raise WithdrawnError from None
+            raise
+
+    def record_head(self) -> None:
+        """Record that the target began a response."""
+        self.progress = messages.Progress.BEGUN
+
+    def record_event(self) -> None:
+        """Record an event, or a complete response: the target bears it."""
+        if self.progress is messages.Progress.EVENTS:
+            return
+        self.progress = messages.Progress.EVENTS
+        if self._withdraw is not None:
+            self._quarantine.stop_watching(self._withdraw)
+        self._quarantine.record_event(self._service, self._part_ids)
+
+    def record_lost(self, target: targets_module.Target) -> None:
+        """Record that the connection broke off before the response ended."""
+        if self.progress is messages.Progress.BEGUN:
+            self._crash_detector.record_lost(target, self._part_ids)
+        elif self.progress is messages.Progress.EVENTS:
+            self._crash_detector.record_lost(target, ())
+
+    def may_repeat(self) -> bool:
+        """Return whether the request may be sent again after a failure.
+
+        It may not if its response broke off before the first event, and its
+        prompt is under suspicion for earlier crashes.
+        """
+        return (
+            self.progress is not messages.Progress.BEGUN
+            or self._quarantine.may_repeat(self._service, self._part_ids)
+        )
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -1,7 +1,6 @@
 """Forwarding of one request to targets, with retries and failover."""
 
 import asyncio
-from collections import abc
 
 import aiohttp
 from aiohttp import web
@@ -11,6 +10,7 @@
 from bulrushdale.forwarding import connections
 from bulrushdale.forwarding import context as context_module
 from bulrushdale.forwarding import events
+from bulrushdale.forwarding import prompt_guard
 from bulrushdale.forwarding import request_log as request_log_module
 from bulrushdale import results
 from bulrushdale.routing import access
@@ -61,8 +61,7 @@
         "_retry_reserved",
         "_sent_ms",
         "_had_free_slot",
-        "_progress",
-        "_withdraw",
+        "_guard",
         "_response",
         "_event_parser",
         "_request_log",
@@ -94,8 +93,12 @@
         self._retry_reserved = False
         self._sent_ms = received_ms
         self._had_free_slot = False
-        self._progress = messages.Progress.SENT
-        self._withdraw: abc.Callable[[], None] = lambda: None
+        self._guard = prompt_guard.PromptGuard(
+            context.quarantine,
+            context.crash_detector,
+            self._service,
+            inbound.shared_part_ids,
+        )
         self._response: web.StreamResponse | None = None
         self._event_parser = events.EventParser(inbound.resume_after)
         self._request_log = request_log_module.RequestLog(
@@ -161,9 +164,7 @@
             raise self._final_error("the deadline has passed")
         if self._attempts >= MAX_ATTEMPTS:
             raise self._final_error("no target accepted the request")
-        withheld = self._context.quarantine.check(
-            self._service, self._inbound.shared_part_ids
-        )
+        withheld = self._guard.check()
         if withheld is not None:
             raise self._withheld_error(withheld)
         choice = self._context.selection.choose(
@@ -288,27 +289,15 @@
     ) -> web.StreamResponse | None:
         """Send the request, and withdraw it if its prompt crashes targets.
 
-        Other targets may crash on the same prompt while the request waits for
-        its first event.
-
         :param target: the target.
         :param copy_from: as for :meth:`_send`.
         :return: as for :meth:`_send`.
         :raises Exception: the error that ends a request that is withdrawn.
         """
-        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(None) as limit:
-                self._withdraw = lambda: limit.reschedule(loop.time())
-                with self._context.quarantine.watch(
-                    self._service,
-                    self._inbound.shared_part_ids,
-                    self._withdraw,
-                ):
-                    return await self._send(target, copy_from)
-        except TimeoutError:
-            if not limit.expired():
-                raise
+            async with self._guard.attempt():
+                return await self._send(target, copy_from)
+        except prompt_guard.WithdrawnError:
             self._request_log.log("request.withdrawn", target=target.target_id)
             raise self._final_error(QUARANTINED_DETAIL) from None
 
@@ -327,7 +316,6 @@
         remaining_ms = self._remaining_ms()
         self._may_have_run_at.append(target)
         self._sent_ms = self._context.clock.now_ms()
-        self._progress = messages.Progress.SENT
         target.record_sent()
         self._had_free_slot = self._context.selection.has_free_slot(target)
         outcome = await attempt.open_response(
@@ -351,7 +339,7 @@
             self._record_failure(target, outcome)
             return None
         self._attempts += 1
-        self._progress = messages.Progress.BEGUN
+        self._guard.record_head()
         self._apply_response_head(target, outcome.head)
         if target.leaving:
             attempt.disable_keep_alive(outcome)
@@ -464,33 +452,15 @@
             "request.failed",
             target=target.target_id,
             reason=failure.reason,
-            progress=self._progress,
+            progress=self._guard.progress,
         )
-        begun = self._progress is not messages.Progress.SENT
-        if failure.connection_lost and begun:
-            self._context.crash_detector.record_lost(
-                target,
-                self._inbound.shared_part_ids
-                if self._progress is messages.Progress.BEGUN
-                else (),
-            )
-        if not self._may_retry() or self._may_crash_next(failure):
+        may_repeat = self._may_retry()
+        if failure.connection_lost:
+            self._guard.record_lost(target)
+            may_repeat = may_repeat and self._guard.may_repeat()
+        if not may_repeat:
             raise self._final_error(failure.reason)
 
-    def _may_crash_next(self, failure: attempt.OutcomeUnknown) -> bool:
-        """Return whether the request may crash the next target too.
-
-        Its response broke off before its first event, and its prompt is under
-        suspicion for earlier crashes.
-        """
-        return (
-            failure.connection_lost
-            and self._progress is messages.Progress.BEGUN
-            and not self._context.quarantine.may_repeat(
-                self._service, self._inbound.shared_part_ids
-            )
-        )
-
     async def _relay_buffered(
         self, target: targets_module.Target, opened: attempt.OpenResponse
     ) -> web.StreamResponse | None:
@@ -535,7 +505,7 @@
                 f"status {head.status}, but the request may have run"
             )
         if head.success:
-            self._record_progress()
+            self._guard.record_event()
         if head.success and self._had_free_slot:
             duration_ms = self._context.clock.now_ms() - self._sent_ms
             self._context.selection.record_run_time(self._service, duration_ms)
@@ -639,7 +609,7 @@
             if parsed.count:
                 stall.record_gap(clock.now_ms() - last_event_ms)
                 last_event_ms = clock.now_ms()
-                self._record_progress()
+                self._guard.record_event()
                 self._request_log.record_event()
             if parsed.error is not None:
                 return attempt.OutcomeUnknown(parsed.error)
@@ -660,15 +630,6 @@
         """Return whether the caller has received no part of the stream."""
         return self._response is None and self._inbound.resume_after is None
 
-    def _record_progress(self) -> None:
-        """Record that the target responded with at least one event."""
-        if self._progress is not messages.Progress.EVENTS:
-            self._progress = messages.Progress.EVENTS
-            self._context.quarantine.stop_watching(self._withdraw)
-            self._context.quarantine.record_event(
-                self._service, self._inbound.shared_part_ids
-            )
-
     async def _started_response(
         self, head: messages.ResponseHead
     ) -> web.StreamResponse:
--- a/src/bulrushdale/routing/crash_evidence.py
+++ b/src/bulrushdale/routing/crash_evidence.py
@@ -39,7 +39,8 @@
 MAX_CLEARED = 1_024
 # Cleared parts per report.
 MAX_REPORTED_CLEARED = 64
-# Parts in the crashes of a report, about 1 KB compressed.
+# Parts in the crashes of a report, about 1 KB compressed; the latest crash is
+# reported with all its parts.
 MAX_REPORTED_PARTS = 128
 
 # Hashes of the parts of a prompt.
@@ -77,6 +78,20 @@
     last_crash_ms: int
 
 
+def limit_reports(
+    reports: abc.Iterable[CrashReport],
+) -> tuple[CrashReport, ...]:
+    """Return the first crashes, as far as they fit into a report."""
+    found: list[CrashReport] = []
+    parts = 0
+    for report in reports:
+        parts += sum(map(len, report.prompts))
+        if found and parts > MAX_REPORTED_PARTS:
+            break
+        found.append(report)
+    return tuple(found)
+
+
 class Crash:
     """What is known about the crash of one start of a target.
 
@@ -149,7 +164,7 @@
     def __bool__(self) -> bool:
         return bool(self._crashes)
 
-    def suspected(self) -> Prompt:
+    def _suspected_parts(self) -> Prompt:
         """Return the parts under suspicion."""
         if self._suspected_revision != self.revision:
             self._suspected_revision = self.revision
@@ -200,14 +215,13 @@
             _, evicted = self._crashes.popitem(last=False)
             parts -= evicted.size
 
-    def clear(self, parts: abc.Collection[int]) -> bool:
+    def clear(self, parts: abc.Collection[int]) -> None:
         """Clear parts of all crashes so far, as they got an event since.
 
         :param parts: hashes of the parts.
-        :return: whether any of them was under suspicion.
         """
-        if self.suspected().isdisjoint(parts):
-            return False
+        if self._suspected_parts().isdisjoint(parts):
+            return
         for key, crash in list(self._crashes.items()):
             crash.clear(parts)
             if not crash.prompts:
@@ -219,7 +233,6 @@
             self._cleared_ms.move_to_end(part)
         while len(self._cleared_ms) > MAX_CLEARED:
             self._cleared_ms.popitem(last=False)
-        return True
 
     def expire(self) -> None:
         """Forget crashes that are too old to be evidence."""
@@ -241,18 +254,18 @@
         :param is_reported: whether a crash is reported now.
         """
         now_ms = self._clock.now_ms()
-        found: list[CrashReport] = []
-        parts = 0
-        for (target_id, started_ms), crash in reversed(self._crashes.items()):
-            if not is_reported(crash):
-                continue
-            parts += crash.size
-            if found and parts > MAX_REPORTED_PARTS:
-                break
-            prompts = tuple(tuple(sorted(p)) for p in crash.prompts)
-            age_ms = now_ms - crash.crashed_ms
-            found.append(CrashReport(target_id, started_ms, age_ms, prompts))
-        return tuple(found)
+        return limit_reports(
+            CrashReport(
+                target_id,
+                started_ms,
+                now_ms - crash.crashed_ms,
+                tuple(tuple(sorted(prompt)) for prompt in crash.prompts),
+            )
+            for (target_id, started_ms), crash in reversed(
+                self._crashes.items()
+            )
+            if is_reported(crash)
+        )
 
     def recently_cleared(self) -> tuple[int, ...]:
         """Return the parts cleared lately, for reports to other routers."""
--- a/src/bulrushdale/routing/quarantine.py
+++ b/src/bulrushdale/routing/quarantine.py
@@ -138,6 +138,7 @@
         for withdraw, (service, part_ids) in list(self._watches.items()):
             prompt = hash_parts(service, part_ids)
             if any(culprit.parts <= prompt for culprit in culprits):
+                self.stop_watching(withdraw)
                 withdraw()
 
     @contextlib.contextmanager
@@ -179,8 +180,7 @@
                         "event": "prompt.quarantined",
                         "parts": _format_parts(culprit.parts),
                         "crashes": culprit.crashes,
-                        "for_ms": quarantine_end_ms(culprit, self._name)
-                        - now_ms,
+                        "for_ms": self._ends_ms(culprit) - now_ms,
                     },
                 )
         for culprit in previous:
@@ -204,10 +204,7 @@
         :param service: the service that is to run it.
         :param part_ids: the shared parts of its prompt.
         """
-        if not self._evidence or not part_ids:
-            return None
-        self._evaluate()
-        if not self._culprits:
+        if not part_ids or not self.active():
             return None
         prompt = hash_parts(service, part_ids)
         matching = [c for c in self._culprits if c.parts <= prompt]
@@ -242,23 +239,20 @@
         prompt = hash_parts(service, part_ids)
         return not any(culprit.parts <= prompt for culprit in self._suspects)
 
-    def record_event(self, service: str, part_ids: abc.Sequence[str]) -> bool:
+    def record_event(self, service: str, part_ids: abc.Sequence[str]) -> None:
         """Record that a prompt got an event, which clears its parts.
 
         :param service: the service that runs it.
         :param part_ids: the shared parts of the prompt.
-        :return: whether any of them was under suspicion.
         """
-        if not self._evidence or not part_ids:
-            return False
-        return self._evidence.clear(hash_parts(service, part_ids))
+        if self._evidence and part_ids:
+            self._evidence.clear(hash_parts(service, part_ids))
 
-    def active(self) -> list[crash_evidence.Culprit]:
+    def active(self) -> abc.Sequence[crash_evidence.Culprit]:
         """Return the parts in quarantine."""
-        if not self._evidence:
-            return []
-        self._evaluate()
-        return list(self._culprits)
+        if self._evidence or self._culprits:
+            self._evaluate()
+        return self._culprits
 
     def crashes_behind(
         self, culprit: crash_evidence.Culprit
--- a/src/bulrushdale/routing/reports.py
+++ b/src/bulrushdale/routing/reports.py
@@ -6,10 +6,6 @@
 from bulrushdale.routing import crash_evidence
 from bulrushdale.routing import health
 
-# Crashes in a total of several reports, the most recent ones. At 60 bytes each
-# they stay below a quarter of a router's control traffic.
-MAX_TOTAL_CRASHES = 32
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
@@ -156,7 +152,10 @@
 def _merge_crashes(
     crashes: abc.Iterable[crash_evidence.CrashReport],
 ) -> tuple[crash_evidence.CrashReport, ...]:
-    """Return each crash once, with all prompts, the most recent ones first."""
+    """Return each crash once, with all prompts, as far as a report holds them.
+
+    The most recent ones come first.
+    """
     merged: dict[tuple[str, int], crash_evidence.CrashReport] = {}
     for crash in crashes:
         key = (crash.target_id, crash.started_ms)
@@ -168,7 +167,7 @@
             prompts=tuple(prompts)[: crash_evidence.MAX_PROMPTS],
         )
     recent = sorted(merged.values(), key=lambda crash: crash.age_ms)
-    return tuple(recent[:MAX_TOTAL_CRASHES])
+    return crash_evidence.limit_reports(recent)
 
 
 def sum_targets(
--- a/tests/crash_fixtures.py
+++ b/tests/crash_fixtures.py
@@ -29,7 +29,7 @@
         return self.quarantine.check(service, part_ids) is not None
 
     def answer(self, *part_ids):
-        return self.quarantine.record_event(SERVICE, part_ids)
+        self.quarantine.record_event(SERVICE, part_ids)
 
     def send_to(self, *others):
         """Deliver a report, encoded as between routers."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -108,6 +108,8 @@
         self.sent_count = 0
         self.stopped = set()
         self.partitioned = set()
+        self.crashes = {}
+        self.informed = set()
         addresses = {
             f"10.{i}.0.{n}:7": f"dc{i}"
             for i in range(data_centres)
@@ -139,6 +141,7 @@
                 self.sequence,
                 1,
                 data_centre=self.data_centres[address],
+                crashes=self.crashes.get(address, ()),
             )
             datagrams += [
                 (address, destination, report)
@@ -155,6 +158,8 @@
             )
             if destination not in self.stopped and not is_lost:
                 self.peers[destination].receive(report)
+                if report.crashes:
+                    self.informed.add(destination)
 
     def known_loads(self):
         """Return the fleet loads that the running routers compute."""
@@ -394,6 +399,41 @@
     assert total.cleared == (4,)
 
 
+def test_crash_reaches_every_router_of_a_large_fleet(clock):
+    """A crash is in the reports of the router that saw it for two seconds."""
+    fleet = Fleet(clock, 7, 30)
+    for _ in range(20):
+        fleet.step()
+    crash = crash_evidence.CrashReport("t1", 5, 70, ((1,),))
+    fleet.crashes["10.3.0.9:7"] = (crash,)
+    for _ in range(8):
+        fleet.step()
+    assert len(fleet.informed) >= 7 * 30 - 1
+
+
+def test_total_of_many_crashes_fits_a_datagram():
+    """A data centre fails while its targets begin long prompts."""
+    crashes = [
+        crash_evidence.CrashReport(
+            f"t{number}",
+            5,
+            number,
+            tuple(
+                tuple((number * 8 + prompt) << 40 | n for n in range(32))
+                for prompt in range(8)
+            ),
+        )
+        for number in range(128)
+    ]
+    reported = [
+        make_report(f"10.0.0.{n + 2}:7", crashes=crashes[n * 4 : n * 4 + 4])
+        for n in range(32)
+    ]
+    total = reports.sum_reports(make_report(OWN), reported, True)
+    assert total.crashes[0].age_ms == 0
+    assert len(peer_transport.encode_report(total)) < 5_000
+
+
 def test_largest_report_fits_a_datagram():
     """A single router reports load at all 2,000 targets."""
     rng = random.Random(1)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,5 +1,6 @@
 """Which prompts are withheld because their parts crash targets."""
 
+import logging
 import random
 
 import pytest
@@ -39,7 +40,7 @@
 def test_quarantine_narrows_to_the_part_that_never_gets_an_event(router):
     crash_fixtures.crash_repeatedly(router, crash_fixtures.DEADLY)
     assert not router.withholds("other", "dead")
-    assert router.answer("first", "book")
+    router.answer("first", "book")
     assert router.withholds("other", "dead")
     assert not router.withholds("first", "book")
 
@@ -128,6 +129,33 @@
     )
 
 
+def test_waiting_request_is_withdrawn_once(router):
+    """Another crash makes the quarantine longer before it is gone."""
+    withdrawn = []
+    with router.quarantine.watch(
+        crash_fixtures.SERVICE,
+        crash_fixtures.DEADLY,
+        lambda: withdrawn.append(1),
+    ):
+        for _ in range(3):
+            crash_fixtures.crash_repeatedly(router, crash_fixtures.DEADLY)
+            router.quarantine.active()
+            crash_fixtures.crash_repeatedly(
+                router, crash_fixtures.DEADLY, count=1, from_number=3
+            )
+            router.quarantine.active()
+    assert withdrawn == [1]
+
+
+def test_quarantine_whose_evidence_is_gone_ends(router, caplog):
+    caplog.set_level(logging.INFO)
+    crash_fixtures.crash_repeatedly(router, crash_fixtures.DEADLY)
+    assert router.quarantine.active()
+    router.answer(*crash_fixtures.DEADLY)
+    assert not router.quarantine.active()
+    assert caplog.messages[-1] == "prompt parts released"
+
+
 def quarantine_ms(router, prompt):
     """Return for how long a prompt is withheld, up to its trial."""
     start_ms = router.clock.now_ms()
