Frames: return nothing after the end mark

A parser that was fed again after the end mark returned the frames that followed it. The new test failed before.

--- a/src/bulrushdale/answers/frames.py
+++ b/src/bulrushdale/answers/frames.py
@@ -69,6 +69,8 @@
         :param data: the bytes received.
         """
         accepted: list[bytes] = []
+        if self.done:
+            return accepted
         *frames, self._buffer = (self._buffer + data).split(FRAME_END)
         if len(self._buffer) > FRAME_LIMIT_BYTES:
             self.gap = True
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -50,6 +50,12 @@
     assert parser.done
 
 
+def test_nothing_is_returned_after_the_end_mark():
+    parser = frames.FrameParser("s")
+    assert parser.feed(frame(0, frames.END_MARK)) == [frames.END_MARK]
+    assert parser.feed(frame(1, b"late")) == []
+
+
 @settings(derandomize=True, max_examples=300)
 @given(
     words=st.lists(st.binary(max_size=8).filter(lambda w: b"\n" not in w)),
