--- a/examples/standins/scripted_target.py
+++ b/examples/standins/scripted_target.py
@@ -72,6 +72,14 @@
     return b"id: %d\ndata: %d\n\n" % (number, number)
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection; what was not sent yet is lost."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    writer.transport.abort()
+
+
 class ScriptedTarget:
     """Serve requests in sequence on each connection.
 
@@ -105,12 +113,7 @@
         """Stop listening and reset all connections."""
         await self.stop()
         for writer in self._writers:
-            sock = writer.get_extra_info("socket")
-            if sock is not None:
-                sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-                )
-            writer.transport.abort()
+            reset_connection(writer)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,7 +5,6 @@
 import os
 import signal
 import socket
-import struct
 
 import aiohttp
 import pytest
@@ -104,10 +103,7 @@
 
 
 async def reset(request, writer):
-    sock = writer.get_extra_info("socket")
-    linger = struct.pack("ii", 1, 0)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.transport.abort()
+    scripted_target.reset_connection(writer)
 
 
 async def close(request, writer):
--- a/tests/test_service_requests.py
+++ b/tests/test_service_requests.py
@@ -1,7 +1,5 @@
 """Responses of plain services in the composition with a catalogue."""
 
-import socket
-import struct
 import types
 
 import pytest
@@ -19,10 +17,7 @@
         writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf")
         await writer.drain()
         if how == "reset":
-            sock = writer.get_extra_info("socket")
-            linger = struct.pack("ii", 1, 0)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
+            scripted_target.reset_connection(writer)
         return False
 
     return script
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -1,8 +1,6 @@
 """Responses without a length or chunks, which end with their connection."""
 
 import asyncio
-import socket
-import struct
 
 import aiohttp
 import pytest
@@ -53,10 +51,7 @@
         await writer.drain()
         await asyncio.sleep(pause_s)
         if how == "reset":
-            sock = writer.get_extra_info("socket")
-            linger = struct.pack("ii", 1, 0)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
+            scripted_target.reset_connection(writer)
         return False
 
     return script
