Logs: tell which limit a target named, and which routers know it

The header is decoded in platform/, kept with the start of the target and the time as of which it is known, and told by target.limited, target.bad_limit and the state limited of bulrushdale_targets. A missing header in a sealed response ends the limit, unless its request was sent before the target named it. No decision reads it yet.

--- a/src/bulrushdale/forwarding/gauges.py
+++ b/src/bulrushdale/forwarding/gauges.py
@@ -11,7 +11,14 @@
 from bulrushdale.routing import selection as selection_module
 from bulrushdale.routing import targets as targets_module
 
-TARGET_STATES = ("good", "leaving", "resting", "unreachable", "ejected")
+TARGET_STATES = (
+    "good",
+    "leaving",
+    "resting",
+    "unreachable",
+    "ejected",
+    "limited",
+)
 
 
 def register(
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -428,6 +428,12 @@
             self._context.targets.mark_leaving(
                 target, "announced in a response"
             )
+        if head.limit_per_s is not None:
+            target.set_limit(head.limit_per_s, self._context.clock.now_ms())
+        elif head.states_limit:
+            # The target may have named a limit to a later request whose
+            # response overtook this one.
+            target.set_limit(None, self._sent_ms)
         if head.retry_after_ms is not None:
             target.back_off(head.retry_after_ms)
             self._request_log.log(
--- a/src/bulrushdale/platform/headers.py
+++ b/src/bulrushdale/platform/headers.py
@@ -32,6 +32,8 @@
 _LEAVING_VALUE = "1"
 # Back-off in seconds that an overloaded target asks for in a 503 response.
 _RETRY_AFTER = "Retry-After"
+# Requests per second that a target takes from all routers together.
+_RATE_LIMIT = "Server-Limit"
 
 _STATUS_MISDIRECTED = 421
 _STATUS_OVERLOADED = 503
@@ -211,22 +213,52 @@
 ) -> messages.ResponseHead:
     """Decode the status and headers of a target's response."""
     encoding = headers.get("Content-Encoding", "identity").lower()
+    sealed = _SIGNATURE in headers
+    misdirected = status == _STATUS_MISDIRECTED
+    limit_per_s = (
+        None if misdirected else _parse_rate_limit(headers.get(_RATE_LIMIT))
+    )
     return messages.ResponseHead(
         status=status,
         headers=_filter_headers(headers, frozenset({"date", "server"})),
         request_id=headers.get(REQUEST_ID, ""),
-        sealed=_SIGNATURE in headers,
+        sealed=sealed,
         not_run=_NOT_EXECUTED in headers,
-        other_target=status == _STATUS_MISDIRECTED,
+        other_target=misdirected,
         encoded=encoding != "identity",
         leaving=(
             headers.get(_LEAVING, "").strip() == _LEAVING_VALUE
-            and status != _STATUS_MISDIRECTED
+            and not misdirected
         ),
         retry_after_ms=_parse_retry_after(status, headers.get(_RETRY_AFTER)),
+        limit_per_s=limit_per_s,
+        states_limit=not misdirected
+        and (
+            limit_per_s is not None or (sealed and _RATE_LIMIT not in headers)
+        ),
     )
 
 
+def _parse_rate_limit(value: str | None) -> float | None:
+    """Return the limit that a target names, in requests per second.
+
+    :return: the limit; none without a valid one.
+    """
+    if value is None:
+        return None
+    try:
+        limit_per_s = float(value)
+    except ValueError:
+        limit_per_s = math.nan
+    if not math.isfinite(limit_per_s) or limit_per_s < 0:
+        LOG.warning(
+            "invalid rate limit of a target ignored",
+            extra={"event": "target.bad_limit", "value": value[:80]},
+        )
+        return None
+    return limit_per_s
+
+
 def _parse_retry_after(status: int, value: str | None) -> int | None:
     """Return the back-off that an overloaded target asks for, in ms.
 
--- a/src/bulrushdale/routing/messages.py
+++ b/src/bulrushdale/routing/messages.py
@@ -103,6 +103,10 @@
     :param leaving: whether the target announces that it is about to stop.
     :param retry_after_ms: how long the target wants no requests, in ms;
         none if not given.
+    :param limit_per_s: requests per second that the target takes from all
+        routers together; none if it names no limit.
+    :param states_limit: whether `limit_per_s` is the target's statement. An
+        invalid limit and a response that isn't the target's state nothing.
     """
 
     status: int
@@ -114,6 +118,8 @@
     encoded: bool
     leaving: bool = False
     retry_after_ms: int | None = None
+    limit_per_s: float | None = None
+    states_limit: bool = False
 
     @property
     def wrongly_implies_not_run(self) -> bool:
--- a/src/bulrushdale/routing/targets.py
+++ b/src/bulrushdale/routing/targets.py
@@ -72,6 +72,10 @@
         clock.
     :ivar backoff_until_ms: end of the back-off that it asked for, in ms of
         the clock.
+    :ivar limit_per_s: requests per second that it takes from all routers
+        together; none without a limit.
+    :ivar limit_as_of_ms: time as of which the limit is known, in ms of the
+        clock; none if the target has stated nothing yet.
     """
 
     __slots__ = (
@@ -84,6 +88,8 @@
         "slow_until_ms",
         "listed_ms",
         "backoff_until_ms",
+        "limit_per_s",
+        "limit_as_of_ms",
         "_half_open",
         "_next_half_open_ms",
         "_clock",
@@ -99,6 +105,8 @@
         self.slow_until_ms = clock.now_ms() + listing.slow_start_ms
         self.listed_ms = clock.now_ms()
         self.backoff_until_ms = 0
+        self.limit_per_s: float | None = None
+        self.limit_as_of_ms: int | None = None
         self._half_open = False
         self._next_half_open_ms = 0
         self._clock = clock
@@ -120,7 +128,9 @@
             return "resting"
         if self.health.unreachable:
             return "unreachable"
-        return "ejected" if self.health.ejected else "good"
+        if self.health.ejected:
+            return "ejected"
+        return "good" if self.limit_per_s is None else "limited"
 
     @property
     def backing_off(self) -> bool:
@@ -144,6 +154,30 @@
         self.backoff_until_ms = max(self.backoff_until_ms, until_ms)
         self._half_open = True
 
+    def set_limit(self, limit_per_s: float | None, as_of_ms: int) -> None:
+        """Record a limit, or that there is none, unless it is outdated.
+
+        :param limit_per_s: requests per second; none for no limit.
+        :param as_of_ms: time as of which this is known, in ms of the clock.
+        """
+        if self.limit_as_of_ms is not None and as_of_ms < self.limit_as_of_ms:
+            return
+        previous = self.limit_per_s
+        self.limit_per_s = limit_per_s
+        self.limit_as_of_ms = as_of_ms
+        if limit_per_s != previous:
+            LOG.info(
+                "target.limited",
+                extra={
+                    "event": "target.limited",
+                    "target": self.target_id,
+                    "service": self.listing.service,
+                    "limit_per_s": limit_per_s,
+                    "previous_per_s": previous,
+                    "age_ms": self._clock.now_ms() - as_of_ms,
+                },
+            )
+
     def record_sent(self) -> None:
         """Delay its next request, if it is half-open."""
         if self._half_open:
