Logs: tell a target's software version and which stream is taken up

Who joins two versions, the router inside one response or the caller's take-up, could not be seen. The version is decoded from the list of targets, and Resumes from take-ups; request.placed names both. An entry whose version is no text names no target, like other invalid entries.

--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -235,6 +235,8 @@
             shared_tokens=self._inbound.shared_tokens,
             cache_at=copy_from.target_id if copy_from else "",
             resume_after=self._event_parser.last_id,
+            resumes=self._inbound.resumes,
+            software=target.listing.version,
         )
 
     def _withheld_error(self, withheld: quarantine.Withheld) -> Exception:
--- a/src/bulrushdale/platform/headers.py
+++ b/src/bulrushdale/platform/headers.py
@@ -16,6 +16,9 @@
 _PROMPT_PREFIX = "X-Prompt-Prefix"
 _TOKEN_COUNTS = "X-Token-Counts"
 _LAST_EVENT_ID = "Last-Event-Id"
+# Id of the request whose response brought the first event of the stream that
+# is taken up.
+_RESUMES = "Resumes"
 _EXPECT_TARGET = "X-Expect-Instance"
 _TEAM = "X-Tenant-Id"
 _URGENCY = "X-Request-Urgency"
@@ -162,6 +165,7 @@
         api_key=_parse_api_key(headers),
         deadline_ms=_parse_number(headers, _DEADLINE),
         resume_after=_parse_number(headers, _LAST_EVENT_ID),
+        resumes=headers.get(_RESUMES, ""),
         prompt=_parse_prompt_prefix(headers.get(_PROMPT_PREFIX, "")),
         prompt_tokens=int(prompt_tokens) if prompt_tokens.isdigit() else 0,
         output_tokens=int(output_tokens) if output_tokens.isdigit() else 0,
--- a/src/bulrushdale/platform/listings.py
+++ b/src/bulrushdale/platform/listings.py
@@ -13,6 +13,8 @@
 
 _STATE_LEAVING = "draining"
 _STATES = ("ready", _STATE_LEAVING)
+# Routers name versions to each other.
+MAX_VERSION_CHARS = 64
 
 
 class ListingError(Exception):
@@ -38,6 +40,15 @@
     return int(value)
 
 
+def _decode_version(value: typing.Any) -> str:
+    """Return the version of the software; empty if there is none."""
+    if value is None:
+        return ""
+    if isinstance(value, str) and len(value) <= MAX_VERSION_CHARS:
+        return value
+    raise ListingError(f"version is invalid: {str(value)[:80]!r}")
+
+
 def decode(target_id: str, value: bytes) -> targets.Listing:
     """Decode the entry of a target.
 
@@ -68,6 +79,7 @@
         leaving=state == _STATE_LEAVING,
         # Remaining time as of when the target wrote the entry, not as of now.
         slow_start_ms=_decode_integer(data, "cold_remaining_ms", 0),
+        version=_decode_version(data.get("version")),
     )
 
 
--- a/src/bulrushdale/routing/messages.py
+++ b/src/bulrushdale/routing/messages.py
@@ -49,6 +49,8 @@
         alone.
     :param prompt_tokens: length of the prompt, in tokens.
     :param output_tokens: maximum number of tokens to generate.
+    :param resumes: id of the request whose response began the stream that the
+        caller takes up; empty if it names none.
     """
 
     request_id: str
@@ -64,6 +66,7 @@
     prompt: tuple[PromptPart, ...]
     prompt_tokens: int
     output_tokens: int
+    resumes: str = ""
 
     @property
     def shared_prefix_id(self) -> str:
--- a/src/bulrushdale/routing/targets.py
+++ b/src/bulrushdale/routing/targets.py
@@ -48,6 +48,8 @@
     :param slots: number of requests that it runs concurrently.
     :param leaving: whether it is about to stop.
     :param slow_start_ms: remaining time of its slow start, in ms.
+    :param version: version of its software; empty if unknown. A stream may be
+        resumed only at the version that began it.
     """
 
     target_id: str
@@ -58,6 +60,7 @@
     slots: int
     leaving: bool
     slow_start_ms: int
+    version: str = ""
 
 
 class Target:
