Resume a stream within its response only at the version that began it

Callers got whole streams whose first part came from one software version and the rest from another. Cause: a stream that breaks off is resumed at any target that was not tried, and the list's version was dropped. The version of the target that gave the first data now binds every later attempt of the response; without a target of that version the response breaks off, as it does without any target. A request whose targets gave nothing yet may still go to any version.

--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -67,6 +67,7 @@
         "_had_free_slot",
         "_guard",
         "_response",
+        "_version",
         "_event_parser",
         "_request_log",
     )
@@ -104,6 +105,8 @@
             inbound.shared_part_ids,
         )
         self._response: web.StreamResponse | None = None
+        # Version of the software that began the stream; none before that.
+        self._version: str | None = None
         self._event_parser = events.EventParser(inbound.resume_after)
         self._request_log = request_log_module.RequestLog(
             context.metrics,
@@ -210,6 +213,7 @@
             self._tried,
             include_unreachable=self._response is not None,
             rank=self._rank,
+            version=self._version,
         )
         if choice is None:
             raise self._final_error(
@@ -325,7 +329,9 @@
         """
         return (
             self._may_retry()
-            and self._context.selection.has_untried(self._service, self._tried)
+            and self._context.selection.has_untried(
+                self._service, self._tried, self._version
+            )
             and self._reserve_retry()
         )
 
@@ -657,6 +663,7 @@
                 )
             parsed = self._event_parser.feed(data)
             if parsed.data:
+                self._bind_version(target)
                 response = await self._started_response(opened.head)
                 await response.write(parsed.data)
             if parsed.count:
@@ -679,6 +686,11 @@
                     )
                 return None
 
+    def _bind_version(self, target: targets_module.Target) -> None:
+        """Let the stream go on only at the version that began it."""
+        if self._version is None:
+            self._version = target.listing.version
+
     def _is_empty(self) -> bool:
         """Return whether the caller has received no part of the stream."""
         return self._response is None and self._inbound.resume_after is None
--- a/src/bulrushdale/routing/selection.py
+++ b/src/bulrushdale/routing/selection.py
@@ -94,6 +94,7 @@
         tried: abc.Collection[str],
         include_unreachable: bool = False,
         rank: int = 0,
+        version: str | None = None,
     ) -> Choice | None:
         """Return the target for a request; none if no target is available.
 
@@ -105,9 +106,12 @@
             targets; if all of them are, the fault may be on this router's
             side.
         :param rank: rank of the request among those that need a permit.
+        :param version: version of the target's software; none for any.
         """
         active = self._targets.active(service)
-        filters = self._filters(service, tried, include_unreachable, rank)
+        filters = self._filters(
+            service, tried, include_unreachable, rank, version
+        )
         if route.prefix_affinity and request.prompt:
             return self._choose_by_prefix(request, service, active, filters)
         for matches in filters:
@@ -138,6 +142,7 @@
         tried: abc.Collection[str],
         include_unreachable: bool,
         rank: int,
+        version: str | None,
     ) -> list[abc.Callable[[str], bool]]:
         """Return filters for targets, from the strictest to the weakest.
 
@@ -152,6 +157,7 @@
                 target_id not in tried
                 and not target.backing_off
                 and not target.permit_wait_ms(rank)
+                and version in (None, target.listing.version)
             )
 
         def reachable(target_id: str) -> bool:
@@ -171,7 +177,12 @@
             *([available] if include_unreachable else []),
         ]
 
-    def has_untried(self, service: str, tried: abc.Collection[str]) -> bool:
+    def has_untried(
+        self,
+        service: str,
+        tried: abc.Collection[str],
+        version: str | None = None,
+    ) -> bool:
         """Return whether there is a usable target that wasn't tried yet.
 
         Targets that limit their requests don't count, as they may have no
@@ -179,12 +190,14 @@
 
         :param service: the service.
         :param tried: ids of the targets that were tried.
+        :param version: version of the target's software; none for any.
         """
         return any(
             t.target_id not in tried
             and not t.health.unreachable
             and not t.backing_off
             and t.limit_per_s is None
+            and version in (None, t.listing.version)
             for t in self._targets.active(service)
         )
 
