Take up a stream only at the version that began it, at any router

Cause: a take-up is a new request at any router, Resumes was passed on unread, and nothing outlives the routers that could tell where the stream began. The class is knowledge of a running operation that is kept only by who runs it.

Fix: while several versions serve, the id of a resumable stream determines its version (weighted rendezvous over the numbers of targets), so a router that knows these numbers for as long as a stream may last computes it again. One router saves the numbers in the store when they change (keyed.versions); a router that starts reads them once. Streams whose version doesn't follow, as the numbers were changing or their version had no target, are told to the others in load reports, 64 at most, and remembered, 8,192 at most, for two minutes. What stays uncertain is refused as not run (3014), as is a version without a target. One version costs one write and a read at each start.

test_take_up_is_not_joined_to_another_version, ..._after_loss_of_all_routers_is_not_joined and ..._once_the_old_version_is_gone failed before.

--- a/src/bulrushdale/forwarding/context.py
+++ b/src/bulrushdale/forwarding/context.py
@@ -1,5 +1,6 @@
 """The components that request handlers share."""
 
+import asyncio
 import dataclasses
 import typing
 
@@ -19,6 +20,7 @@
 from bulrushdale.routing import revisions as revisions_module
 from bulrushdale.routing import selection as selection_module
 from bulrushdale.routing import targets as targets_module
+from bulrushdale.routing import versions
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,6 +64,10 @@
     :ivar crash_detector: finds out which targets crashed.
     :ivar quarantine: decides which requests are withheld.
     :ivar permits: gets permits for targets that limit their requests.
+    :ivar version_history: which software versions served lately.
+    :ivar stream_versions: versions of some streams.
+    :ivar versions_restored: set once the history includes the time before
+        this router started.
     """
 
     __slots__ = (
@@ -81,6 +87,9 @@
         "crash_detector",
         "quarantine",
         "permits",
+        "version_history",
+        "stream_versions",
+        "versions_restored",
     )
 
     def __init__(
@@ -101,6 +110,9 @@
         crash_detector: crashes.CrashDetector,
         quarantine: quarantine_module.Quarantine,
         permits: permits_module.Permits,
+        version_history: versions.VersionHistory,
+        stream_versions: versions.StreamVersions,
+        versions_restored: asyncio.Event,
     ) -> None:
         self.clock = clock
         self.codec = codec
@@ -118,3 +130,6 @@
         self.crash_detector = crash_detector
         self.quarantine = quarantine
         self.permits = permits
+        self.version_history = version_history
+        self.stream_versions = stream_versions
+        self.versions_restored = versions_restored
--- a/src/bulrushdale/forwarding/peer_transport.py
+++ b/src/bulrushdale/forwarding/peer_transport.py
@@ -52,8 +52,8 @@
     """Encode a report as a compressed datagram.
 
     Crashes are left out if there are none: routers of earlier versions ignore
-    reports with fields that they don't know. Limits follow in a second
-    compressed block, which they don't read.
+    reports with fields that they don't know. Limits and streams follow in
+    a second compressed block, which they don't read.
     """
     crashes = [
         [
@@ -106,7 +106,7 @@
         ]
         for limit in report.limits
     ]
-    return data + _compress([limits])
+    return data + _compress([limits, list(report.streams.items())])
 
 
 def _compress(data: typing.Any) -> bytes:
@@ -139,7 +139,7 @@
             fields[7:13]
         )
         crashes, cleared = fields[13:] or ([], [])
-        limits = extensions[0][0] if extensions else []
+        limits, streams = extensions[0][:2] if extensions else ([], [])
         targets = {
             target_id: reports.TargetReport(
                 in_flight, health.Results(done, failed)
@@ -170,6 +170,7 @@
             cleared=tuple(map(int, cleared)),
             grants_permits=bool(extensions),
             limits=tuple(_decode_limit(*limit) for limit in limits),
+            streams={int(key): str(version) for key, version in streams},
         )
     except (TypeError, AttributeError, LookupError, zlib.error) as error:
         raise ValueError(repr(error)) from error
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -32,6 +32,7 @@
 from bulrushdale.platform import quarantine_store
 from bulrushdale.platform import registry
 from bulrushdale.platform import store as store_module
+from bulrushdale.platform import version_store as version_store_module
 from bulrushdale.routing import budget as budget_module
 from bulrushdale.routing import crash_evidence
 from bulrushdale.routing import peers as peers_module
@@ -42,6 +43,7 @@
 from bulrushdale.routing import revisions as revisions_module
 from bulrushdale.routing import selection as selection_module
 from bulrushdale.routing import targets as targets_module
+from bulrushdale.routing import versions
 from bulrushdale import settings_error
 
 LOG = logging.getLogger(__name__)
@@ -211,6 +213,11 @@
         self._quarantine = quarantine.Quarantine(
             self._crash_evidence, self._address, clock
         )
+        self._version_history = versions.VersionHistory(clock)
+        self._stream_versions = versions.StreamVersions(clock)
+        self._version_store = version_store_module.VersionStore(
+            self._store, self._version_history, clock
+        )
         self._discovery_attempted = asyncio.Event()
         self._sequence = 0
         self._started_ms = clock.wall_ms()
@@ -250,6 +257,9 @@
             ),
             quarantine=self._quarantine,
             permits=permits,
+            version_history=self._version_history,
+            stream_versions=self._stream_versions,
+            versions_restored=self._version_store.restored,
         )
         gauges.register(
             self._metrics,
@@ -268,6 +278,7 @@
         self._targets.merge_leaving(report.leaving)
         for limit in report.limits:
             self._targets.merge_limit(limit)
+        self._stream_versions.merge(report.streams)
         for crash in report.crashes:
             self._crash_evidence.record(crash)
         if report.cleared:
@@ -341,6 +352,7 @@
                 self._discovery_attempted.set,
             ),
             self._keep_quarantines(),
+            self._version_store.run(self._saves_versions),
             self._run_every(
                 peers_module.REPORT_INTERVAL_MS, self._send_report
             ),
@@ -401,6 +413,14 @@
         is_alone = not self._peers.live() and uptime_ms > ALONE_AFTER_MS
         return is_alone or self._peers.upstream() is None
 
+    def _saves_versions(self) -> bool:
+        """Return whether this router saves the version history.
+
+        Not before it had time to receive the whole list of targets.
+        """
+        uptime_ms = self._clock.now_ms() - self._up_since_ms
+        return uptime_ms > ALONE_AFTER_MS and self._reads_store()
+
     async def _run_every(
         self, interval_ms: int, job: abc.Callable[[], abc.Awaitable[None]]
     ) -> None:
@@ -433,12 +453,17 @@
                 cleared=self._crash_evidence.recently_cleared(),
                 grants_permits=True,
                 limits=self._targets.take_limits_to_report(),
+                streams=self._stream_versions.to_report(),
             )
         )
 
     async def _expire_targets(self) -> None:
         self._targets.expire(self._peers.store_up_ms())
         self._rate_limiter.expire()
+        for service in self._targets.services():
+            self._version_history.update(
+                service, self._targets.composition(service)
+            )
 
     def is_ready(self) -> bool:
         """Return whether this router should receive requests of callers."""
--- a/src/bulrushdale/platform/store.py
+++ b/src/bulrushdale/platform/store.py
@@ -42,6 +42,8 @@
 # Also the project's own: the crashes behind quarantines, for routers that
 # start when no other router is up.
 QUARANTINE_TOPIC = "keyed.quarantine"
+# Also the project's own: which software versions served lately, by service.
+VERSIONS_TOPIC = "keyed.versions"
 
 _LENGTH_BYTES = 4
 # A response to a read starts with the end offset and the oldest offset that
--- a/src/bulrushdale/results.py
+++ b/src/bulrushdale/results.py
@@ -40,6 +40,7 @@
     STOPPING = 3011
     PROMPT_QUARANTINED = 3012
     RATE_LIMITED = 3013
+    STREAM_NOT_RESUMABLE = 3014
     TARGET_FAILED = 4001
     ANSWER_CUT = 4002
     OUTCOME_UNKNOWN = 4003
@@ -143,6 +144,9 @@
     Code.RATE_LIMITED: Meaning(
         503, _NO, True, "Wait for Retry-After; targets limit their requests."
     ),
+    Code.STREAM_NOT_RESUMABLE: Meaning(
+        503, _NO, False, "Ask anew from the start; its version can't go on."
+    ),
     Code.TARGET_FAILED: Meaning(
         502, Ran.UNKNOWN, False, "Look the effect up before a new key."
     ),
--- a/src/bulrushdale/routing/reports.py
+++ b/src/bulrushdale/routing/reports.py
@@ -2,10 +2,12 @@
 
 from collections import abc
 import dataclasses
+import itertools
 
 from bulrushdale.routing import crash_evidence
 from bulrushdale.routing import health
 from bulrushdale.routing import rate_limits
+from bulrushdale.routing import versions
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,6 +84,8 @@
     :param grants_permits: whether the sender answers requests for permits;
         routers of earlier versions don't.
     :param limits: some of the limits that targets named, or that ended.
+    :param streams: versions of streams that don't follow from the streams'
+        ids, by the hash of the id.
     """
 
     address: str
@@ -101,6 +105,7 @@
     cleared: abc.Sequence[int] = ()
     grants_permits: bool = False
     limits: abc.Sequence[rate_limits.LimitReport] = ()
+    streams: abc.Mapping[int, str] = dataclasses.field(default_factory=dict)
 
 
 def apply_partial(report: Report, previous: Report | None) -> Report:
@@ -134,10 +139,12 @@
     leaving = set(own.leaving)
     crashes = list(own.crashes)
     cleared = set(own.cleared)
+    streams = dict(own.streams)
     for report in others:
         leaving.update(report.leaving)
         crashes += report.crashes
         cleared.update(report.cleared)
+        streams.update(report.streams)
         routers += report.routers
         store_up_ms = max(store_up_ms, report.store_up_ms)
         prefix_locations.update(report.prefix_locations)
@@ -152,6 +159,9 @@
         leaving=tuple(sorted(leaving)),
         crashes=_merge_crashes(crashes),
         cleared=tuple(cleared),
+        streams=dict(
+            itertools.islice(streams.items(), versions.MAX_REPORTED_STREAMS)
+        ),
     )
 
 
--- a/src/bulrushdale/routing/targets.py
+++ b/src/bulrushdale/routing/targets.py
@@ -12,6 +12,7 @@
 from bulrushdale.routing import health as health_module
 from bulrushdale.routing import rate_limits
 from bulrushdale.routing import reports as reports_module
+from bulrushdale.routing import versions
 
 LOG = logging.getLogger(__name__)
 
@@ -280,6 +281,7 @@
         "_targets",
         "_by_service",
         "_active",
+        "_compositions",
         "_recently_left",
         "_leaving_seen_ms",
         "_lapse_grace_until_ms",
@@ -293,6 +295,8 @@
         self._by_service: dict[str, dict[str, Target]] = {}
         # Active targets by service, computed on demand.
         self._active: dict[str, list[Target]] = {}
+        # Their versions by service, computed on demand.
+        self._compositions: dict[str, versions.Composition] = {}
         self._recently_left: dict[str, dict[str, tuple[int, Target]]] = {}
         self._leaving_seen_ms: dict[tuple[str, int], int] = {}
         self._first_listed_ms: int | None = None
@@ -322,6 +326,8 @@
                 "target.leaving", known, "its entry is marked as leaving"
             )
         known.lapsed = False
+        if known.listing.version != listing.version:
+            self._compositions.pop(listing.service, None)
         if known.listing.address != listing.address:
             self._log("target.moved", known, listing.address)
         known.listing = listing
@@ -333,7 +339,7 @@
         self._targets[listing.target_id] = target
         by_id = self._by_service.setdefault(listing.service, {})
         by_id[listing.target_id] = target
-        self._active.pop(listing.service, None)
+        self._forget_active(listing.service)
         self._log("target.listed", target, listing.address)
 
     def mark_leaving(self, target: Target, reason: str) -> None:
@@ -425,16 +431,21 @@
         self._targets.pop(target.target_id, None)
         by_id = self._by_service.get(target.listing.service, {})
         by_id.pop(target.target_id, None)
-        self._active.pop(target.listing.service, None)
+        self._forget_active(target.listing.service)
         self._log("target.dropped", target, reason)
 
     def _deactivate(self, target: Target) -> None:
         """Mark a target as leaving, and remember that it left recently."""
         target.leaving = True
-        self._active.pop(target.listing.service, None)
+        self._forget_active(target.listing.service)
         left = self._recently_left.setdefault(target.listing.service, {})
         left[target.target_id] = (self._clock.now_ms(), target)
 
+    def _forget_active(self, service: str) -> None:
+        """Forget what was computed from a service's active targets."""
+        self._active.pop(service, None)
+        self._compositions.pop(service, None)
+
     def _log(self, event: str, target: Target, detail: str) -> None:
         LOG.info(
             event,
@@ -566,3 +577,17 @@
             found = [t for t in by_id.values() if not t.leaving]
             self._active[service] = found
         return found
+
+    def services(self) -> list[str]:
+        """Return the services that have or had targets."""
+        return list(self._by_service)
+
+    def composition(self, service: str) -> versions.Composition:
+        """Return how many active targets of a service run each version."""
+        found = self._compositions.get(service)
+        if found is None:
+            found = versions.count_versions(
+                target.listing.version for target in self.active(service)
+            )
+            self._compositions[service] = found
+        return found
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -28,6 +28,7 @@
 from bulrushdale.routing import rate_limits
 from bulrushdale.routing import selection
 from bulrushdale.routing import targets as targets_module
+from bulrushdale.routing import versions
 
 OUTCOMES = st.lists(
     st.sampled_from(
@@ -132,6 +133,9 @@
             lambda *_: None,
             clock,
         ),
+        version_history=versions.VersionHistory(clock),
+        stream_versions=versions.StreamVersions(clock),
+        versions_restored=asyncio.Event(),
     )
     inbound = emulator.make_request("q1")
     admitted = access.AdmittedRequest(emulator.ROUTE, None, 1)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -2,15 +2,33 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 import aiohttp
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
 import orjson
 import pytest
 
+from bulrushdale import clock as clock_module
+from bulrushdale.forwarding import peer_transport
+from bulrushdale.platform import listings
+from bulrushdale.platform import version_store
+from bulrushdale.routing import reports
+from bulrushdale.routing import targets as targets_module
+from bulrushdale.routing import versions
 from examples.standins import scripted_target
 from tests import gateway_fixtures
+from tests import test_peers
+from tests import test_selection
+
+LISTING = dataclasses.replace(test_selection.LISTING, target_id="t1")
 
 EVENTS = 6
+TIMEOUT_MS = 1_000
+# The history of versions then reaches back as far as a stream may last.
+SETTLED_AFTER_S = (TIMEOUT_MS + versions.MARGIN_MS) / 1000 + 0.5
 
 
 def versioned_event(version, number):
@@ -138,7 +156,7 @@
     deployment = gateway_fixtures.Deployment()
     async with deployment.stack:
         await deployment.start_store()
-        await deployment.publish()
+        await deployment.publish(timeout_ms=TIMEOUT_MS)
         fleet = Fleet(deployment)
         await fleet.add_targets("v1", "v2")
         await fleet.add_router("r1")
@@ -160,6 +178,7 @@
 
 async def test_take_up_is_not_joined_to_another_version(fleet):
     """The caller takes up its stream at the other router."""
+    await asyncio.sleep(SETTLED_AFTER_S)
     went_on = 0
     for number in range(12):
         fleet.break_off(2)
@@ -175,6 +194,7 @@
 
 
 async def test_take_up_after_loss_of_all_routers_is_not_joined(fleet):
+    await asyncio.sleep(SETTLED_AFTER_S)
     streams = {}
     fleet.break_off(2)
     for number in range(12):
@@ -211,3 +231,162 @@
         )
         if status == 200:
             assert len(versions_in(data + rest)) == 1
+
+
+async def test_take_up_of_a_recent_change_is_known_at_other_routers(fleet):
+    """Nothing is settled yet: the versions of streams are told by reports."""
+    streams = {}
+    fleet.break_off(2)
+    for number in range(12):
+        _, streams[f"q{number}"], _ = await fleet.ask(f"q{number}")
+    await asyncio.sleep(0.4)
+    fleet.set_healthy()
+    for request_id, data in streams.items():
+        status, rest, whole = await fleet.take_up(
+            f"{request_id}b", request_id, data, router=1
+        )
+        assert (status, whole) == (200, True)
+        assert len(versions_in(data + rest)) == 1
+
+
+async def test_stream_of_a_version_without_targets_is_refused_at_once(fleet):
+    await asyncio.sleep(SETTLED_AFTER_S)
+    fleet.break_off(2)
+    data = []
+    number = 0
+    while versions_in(data) != {"v1"}:
+        number += 1
+        _, data, _ = await fleet.ask(f"q{number}")
+    await fleet.remove_target("t1")
+    await asyncio.sleep(0.8)
+    fleet.set_healthy()
+    status, rest, _ = await fleet.take_up("again", f"q{number}", data)
+    assert (status, rest) == (503, [])
+    status, anew, whole = await fleet.ask("anew")
+    assert (status, whole) == (200, True)
+    assert versions_in(anew) == {"v2"}
+
+
+async def test_take_up_that_names_no_stream_goes_on_at_a_single_version(fleet):
+    await fleet.remove_target("t1")
+    await asyncio.sleep(0.7)
+    status, _, _ = await fleet.take_up("early", "", ["v2-0"])
+    assert status == 503
+    await asyncio.sleep(SETTLED_AFTER_S)
+    status, rest, whole = await fleet.take_up("late", "", ["v2-0"])
+    assert (status, whole) == (200, True)
+    assert versions_in(rest) == {"v2"}
+
+
+COMPOSITIONS = st.lists(
+    st.dictionaries(
+        st.sampled_from(["v1", "v2", "v3"]), st.integers(1, 9), min_size=1
+    ),
+    min_size=1,
+    max_size=8,
+)
+
+
+@settings(derandomize=True, deadline=None)
+@given(compositions=COMPOSITIONS, gaps_ms=st.lists(st.integers(0, 40_000)))
+def test_version_of_a_stream_is_among_the_possible_ones(compositions, gaps_ms):
+    """Whenever it began, at a router that restores what another one saved."""
+    clock = clock_module.ManualClock()
+    history = versions.VersionHistory(clock)
+    history.update("s", versions.Composition((("v1", 1),)))
+    clock.advance(60_000)
+    began = []
+    for number, counts in enumerate(compositions):
+        composition = versions.Composition(tuple(sorted(counts.items())))
+        history.update("s", composition)
+        clock.advance(gaps_ms[number] if number < len(gaps_ms) else 1_000)
+        stream_id = f"q{number}"
+        version = composition.version_of(stream_id)
+        began.append((clock.now_ms(), stream_id, version))
+    restored = versions.VersionHistory(clock)
+    restored.update("s", history.current("s"))
+    saved = version_store._encode(history.dated("s"), 500)
+    restored.restore("s", version_store._decode(saved, 500, clock.now_ms()))
+    for known in (history, restored):
+        for began_ms, stream_id, version in began:
+            age_ms = clock.now_ms() - began_ms
+            if age_ms > 15_000:
+                continue
+            possible = known.possible_versions("s", stream_id, 15_000)
+            assert version in possible
+
+
+def test_stream_is_not_placed_by_a_history_that_is_too_short(clock):
+    history = versions.VersionHistory(clock)
+    history.update("s", versions.Composition((("v1", 1),)))
+    assert not history.possible_versions("s", "q1", 15_000)
+    clock.advance(15_000 + versions.MARGIN_MS)
+    assert history.possible_versions("s", "q1", 15_000) == {"v1"}
+
+
+def test_streams_spread_over_versions_by_their_targets():
+    composition = versions.Composition((("v1", 4), ("v2", 1)))
+    found = [composition.version_of(f"q{n}") for n in range(5_000)]
+    assert 0.17 < found.count("v2") / 5_000 < 0.23
+
+
+def test_target_that_joins_changes_the_version_of_few_streams():
+    before = versions.Composition((("v1", 4), ("v2", 1)))
+    after = versions.Composition((("v1", 4), ("v2", 2)))
+    moved = [
+        (before.version_of(f"q{n}"), after.version_of(f"q{n}"))
+        for n in range(5_000)
+    ]
+    changed = [pair for pair in moved if pair[0] != pair[1]]
+    assert set(changed) == {("v1", "v2")}
+    assert len(changed) / 5_000 < 0.17
+
+
+def test_known_streams_are_bounded_and_expire(clock):
+    streams = versions.StreamVersions(clock)
+    for number in range(versions.MAX_STREAMS + 100):
+        streams.record(f"q{number}", "v1")
+    assert streams.get("q0") is None
+    assert streams.get(f"q{versions.MAX_STREAMS}") == "v1"
+    assert len(streams.to_report()) == versions.MAX_REPORTED_STREAMS
+    clock.advance(versions.REPORTED_FOR_MS + 1)
+    assert streams.to_report() == {}
+    clock.advance(versions.HISTORY_MS)
+    streams.merge({})
+    assert streams.get(f"q{versions.MAX_STREAMS}") is None
+
+
+@pytest.mark.parametrize(
+    ("fields", "version"),
+    [({}, "v1"), ({"version": None}, ""), ({"version": "x" * 64}, "x" * 64)],
+)
+def test_version_of_an_entry(fields, version):
+    entry = orjson.loads(gateway_fixtures.make_entry("10.0.0.1:80"))
+    entry.update(fields)
+    listing = listings.decode("t1", orjson.dumps(entry))
+    assert listing.version == version
+
+
+@pytest.mark.parametrize("version", [3, ["v1"], {"v": 1}, "x" * 65])
+def test_entry_whose_version_is_no_text_names_no_target(version):
+    entry = orjson.loads(gateway_fixtures.make_entry("10.0.0.1:80"))
+    entry["version"] = version
+    with pytest.raises(listings.ListingError):
+        listings.decode("t1", orjson.dumps(entry))
+
+
+def test_version_that_changes_under_the_same_id_counts_at_once(clock):
+    targets = targets_module.Targets(clock)
+    targets.put(dataclasses.replace(LISTING, version="v1"))
+    assert targets.composition(LISTING.service).counts == (("v1", 1),)
+    targets.put(dataclasses.replace(LISTING, version="v2"))
+    assert targets.composition(LISTING.service).counts == (("v2", 1),)
+
+
+def test_streams_reach_other_data_centres(clock):
+    own = test_peers.make_report("10.0.0.1:7", streams={1: "v1"})
+    other = test_peers.make_report("10.0.0.2:7", streams={2: "v2"})
+    total = reports.sum_reports(own, [other], is_fleet_total=True)
+    total = dataclasses.replace(total, grants_permits=True)
+    decoded = peer_transport.decode_report(peer_transport.encode_report(total))
+    assert decoded.streams == {1: "v1", 2: "v2"}
