Take up a stream at the service that began it

A route may split its requests between services by the hash of the request's id. A take-up has an id of its own, so it went to either service, and callers got a text of which the two parts came from different services. The id of the request that began the stream, from Resumes, decides now; requests that take nothing up are placed as before.

test_take_up_goes_to_the_service_that_began_the_stream failed before (events of v1, then of v2, of two services).

--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -97,7 +97,7 @@
             deadline_ms, admitted.route.timeout_ms
         )
         self._stream_id = inbound.resumes or inbound.request_id
-        self._service = admitted.route.service_for(inbound.request_id) or ""
+        self._service = admitted.route.service_for(self._stream_id) or ""
         self._tried: set[str] = set()
         self._attempts = 0
         self._may_have_run_at: list[targets_module.Target] = []
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -390,3 +390,32 @@
     total = dataclasses.replace(total, grants_permits=True)
     decoded = peer_transport.decode_report(peer_transport.encode_report(total))
     assert decoded.streams == {1: "v1", 2: "v2"}
+
+
+async def test_take_up_goes_to_the_service_that_began_the_stream(fleet):
+    """The route splits its requests between two services by their ids."""
+    configuration = orjson.loads(
+        gateway_fixtures.make_configuration(2, timeout_ms=TIMEOUT_MS)
+    )
+    for route in configuration["routes"]:
+        route["traffic_split"] = [
+            {"service": "oven", "weight": 1},
+            {"service": "grill", "weight": 1},
+        ]
+    configuration["services"].append({"name": "grill"})
+    store = fleet.deployment.store
+    await store.put("keyed.op", "config", orjson.dumps(configuration))
+    address = fleet.deployment.targets[1].address
+    entry = orjson.loads(gateway_fixtures.make_entry(address, started_ms=2))
+    entry["service"] = "grill"
+    await store.put("keyed.servers", "t2", orjson.dumps(entry))
+    await asyncio.sleep(SETTLED_AFTER_S)
+    for number in range(12):
+        fleet.break_off(2)
+        _, data, _ = await fleet.ask(f"q{number}")
+        fleet.set_healthy()
+        status, rest, whole = await fleet.take_up(
+            f"q{number}b", f"q{number}", data
+        )
+        assert (status, whole) == (200, True)
+        assert len(versions_in(data + rest)) == 1
