Take no repeated refusal for the response to the next request

Callers would be told 'not run, try again' for an order that its target runs (REFUSED), or the order would go to a second target (TWICE). Cause: a refusal whose body has arrived leaves its connection in the pool before it is closed; a target that writes the refusal once more on it, without a request id, was believed for the request that came next. A response that names another request was discarded already. The class: a statement is taken for the current request because of its place on the connection.

A response without an id on a connection that had a response before has an unknown outcome now, and the connection isn't used again. On a connection of its own a refusal without an id is still believed.

--- a/src/bulrushdale/forwarding/attempt.py
+++ b/src/bulrushdale/forwarding/attempt.py
@@ -129,7 +129,8 @@
             f"connection lost: {describe(error)}", connection_lost=True
         )
     head = decode(response.status, response.headers)
-    problem = _check_response(head, inbound)
+    unidentified = getattr(response, "unidentified", False)
+    problem = _check_response(head, inbound, unidentified)
     if problem is None:
         return OpenResponse(head, response)
     response.close()
@@ -157,9 +158,19 @@
 
 
 def _check_response(
-    head: messages.ResponseHead, inbound: messages.InboundRequest
+    head: messages.ResponseHead,
+    inbound: messages.InboundRequest,
+    unidentified: bool,
 ) -> NotRun | OutcomeUnknown | None:
-    """Return why a response can't be relayed; none if it can."""
+    """Return why a response can't be relayed; none if it can.
+
+    :param head: the head of the response.
+    :param inbound: the request.
+    :param unidentified: whether it may belong to an earlier request. A faulty
+        target may repeat a refusal, while it runs this request.
+    """
+    if unidentified:
+        return OutcomeUnknown("the response may belong to an earlier request")
     if head.request_id and head.request_id != inbound.request_id:
         return OutcomeUnknown("the response belongs to another request")
     if head.other_target:
--- a/src/bulrushdale/forwarding/connections.py
+++ b/src/bulrushdale/forwarding/connections.py
@@ -71,11 +71,15 @@
     :ivar id_header: name of the header that carries the request id.
     :ivar expected_id: id of the current request; none accepts any response.
     :ivar awaiting_head: whether the response head is still to come.
+    :ivar unidentified: whether the last response may belong to an earlier
+        request: it has no id, and the connection was in use before.
     """
 
     id_header = ""
     expected_id: str | None = None
     awaiting_head = False
+    unidentified = False
+    _has_responded = False
 
     def data_received(self, data: bytes) -> None:
         """Parse a response head separately from the bytes that follow it.
@@ -105,6 +109,15 @@
             response_id = message.headers.get(self.id_header)
             if response_id is None or self.expected_id in (None, response_id):
                 self.awaiting_head = False
+                self.unidentified = (
+                    bool(self.id_header)
+                    and response_id is None
+                    and self._has_responded
+                )
+                if self.unidentified:
+                    # The response to this request may still come.
+                    self.force_close()
+                self._has_responded = True
                 return message, payload
             LOG.warning(
                 "discarded a response to another request",
@@ -188,13 +201,18 @@
     """
 
     class Response(aiohttp.ClientResponse):
+        #: Whether it may belong to an earlier request on its connection.
+        unidentified = False
+
         async def start(
             self, connection: typing.Any
         ) -> aiohttp.ClientResponse:
             protocol = connection.protocol
             protocol.id_header = id_header
             protocol.expected_id = self.request_info.headers.get(id_header)
-            return await super().start(connection)
+            await super().start(connection)
+            self.unidentified = protocol.unidentified
+            return self
 
     return Response
 
