Keep errors of the next target out of a stream that has begun

Cause: any 200 or 204 of the target that was to go on counted as the rest of the stream, whatever its content type, and an event without an id counted as in order. An error page with status 200 was passed on event by event, an empty one ended the stream. The class: content is taken for what was asked, because the status says success.

A stream goes on only with a 200 whose content type is none or that of an event stream, and, where its events have ids, only with events that have the next one. Errors with another status were kept out before.

--- a/src/bulrushdale/forwarding/attempt.py
+++ b/src/bulrushdale/forwarding/attempt.py
@@ -10,6 +10,7 @@
 from bulrushdale.forwarding import connections
 from bulrushdale.routing import messages
 
+_EVENT_STREAM = "text/event-stream"
 _CONNECTION_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
 
@@ -64,6 +65,13 @@
         headers = self.response.headers
         return "Content-Length" in headers or "Transfer-Encoding" in headers
 
+    @property
+    def may_be_event_stream(self) -> bool:
+        """Whether nothing says that the body isn't an event stream."""
+        content_type = self.response.headers.get("Content-Type", _EVENT_STREAM)
+        media_type = content_type.partition(";")[0].strip().lower()
+        return self.head.status == 200 and media_type == _EVENT_STREAM
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Oversized:
--- a/src/bulrushdale/forwarding/events.py
+++ b/src/bulrushdale/forwarding/events.py
@@ -78,11 +78,15 @@
     def _check_order(self, event: bytes) -> str | None:
         """Record an event's id; return an error if it is out of order.
 
-        An event without an id is always in order.
+        Where earlier events have ids, one without is not of the same stream;
+        it may be the text of an error.
         """
         match = _ID.search(event)
         if match is None:
-            return None
+            is_comment = _COMMENT.fullmatch(event) is not None
+            if is_comment or self.last_id is None:
+                return None
+            return "an event without an id"
         event_id = int(match[1])
         if self.last_id is not None and event_id != self.last_id + 1:
             return f"event {event_id} where {self.last_id + 1} was expected"
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -435,6 +435,14 @@
         if target.leaving:
             attempt.disable_keep_alive(outcome)
         if self._route.kind is routes.Kind.STREAM and outcome.head.success:
+            resumes = self._event_parser.last_id is not None
+            if resumes and not outcome.may_be_event_stream:
+                outcome.response.close()
+                self._record_failure(
+                    target,
+                    attempt.OutcomeUnknown("the response is no event stream"),
+                )
+                return None
             return await self._relay_stream(target, outcome)
         return await self._relay_buffered(target, outcome)
 
