Metrics: permits and resumed streams by outcome

bulrushdale_permits and bulrushdale_resumed_streams tell on-call engineers how many requests limited targets turn away, and how many take-ups can't go on, without reading logs.

--- a/src/bulrushdale/forwarding/metrics.py
+++ b/src/bulrushdale/forwarding/metrics.py
@@ -100,6 +100,9 @@
         outcome.
     :ivar target_crashes: targets that crashed while they responded, by
         service.
+    :ivar permits: requests for permits of targets that limit their requests,
+        by outcome.
+    :ivar resumed_streams: streams that callers took up, by outcome.
     """
 
     __slots__ = (
@@ -109,6 +112,8 @@
         "answer_ms",
         "store_reads",
         "target_crashes",
+        "permits",
+        "resumed_streams",
         "_gauges",
         "_exporter",
     )
@@ -137,6 +142,14 @@
             "bulrushdale_target_crashes",
             "Targets that crashed while they responded, by service.",
         )
+        self.permits = Instrument(
+            "bulrushdale_permits",
+            "Requests for permits of limited targets by outcome.",
+        )
+        self.resumed_streams = Instrument(
+            "bulrushdale_resumed_streams",
+            "Streams that callers took up by outcome.",
+        )
         self._gauges: list[tuple[str, str, ReadGauge, str]] = []
         self._exporter: Exporter | None = None
 
@@ -165,6 +178,8 @@
             self.attempts,
             self.store_reads,
             self.target_crashes,
+            self.permits,
+            self.resumed_streams,
         ):
             counter.connect(
                 exporter.counter(counter.name, counter.description)
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -186,9 +186,14 @@
         """
         for _ in range(MAX_PERMIT_REQUESTS):
             choice = self._choose_target()
+            limited = choice.target.limit_per_s is not None
             wait_ms = await self._context.permits.acquire(
                 choice.target, self._rank
             )
+            if limited:
+                self._context.metrics.permits.record(
+                    1, {"outcome": "refused" if wait_ms else "granted"}
+                )
             if not wait_ms:
                 self._record_choice(choice)
                 return choice
@@ -774,6 +779,9 @@
             possible = frozenset()
         if known is None and len(possible) == 1:
             (known,) = possible
+        self._context.metrics.resumed_streams.record(
+            1, {"outcome": "refused" if known is None else "placed"}
+        )
         self._request_log.log(
             "request.resumed",
             resumes=self._inbound.resumes,
