Bind no new stream to the one that it replaces

A request that names an earlier stream but has received no event of it begins anew. Its version was computed from the earlier stream's id, while its own take-ups name its own id: with two versions in service they were sent to the other one as often as not. Resumes counts only together with the last event id now. Found by reading the fix of the take-ups; test_stream_that_begins_anew_is_not_bound_to_an_earlier_one failed before ({'v1', 'v2'} in one stream).

--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -96,7 +96,9 @@
         self._deadline_ms = received_ms + min(
             deadline_ms, admitted.route.timeout_ms
         )
-        self._stream_id = inbound.resumes or inbound.request_id
+        self._stream_id = inbound.request_id
+        if inbound.resume_after is not None and inbound.resumes:
+            self._stream_id = inbound.resumes
         self._service = admitted.route.service_for(self._stream_id) or ""
         self._tried: set[str] = set()
         self._attempts = 0
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -419,3 +419,17 @@
         )
         assert (status, whole) == (200, True)
         assert len(versions_in(data + rest)) == 1
+
+
+async def test_stream_that_begins_anew_is_not_bound_to_an_earlier_one(fleet):
+    """It names an earlier stream but has received no event of it."""
+    await asyncio.sleep(SETTLED_AFTER_S)
+    for number in range(8):
+        fleet.break_off(2)
+        _, data, _ = await fleet.ask(f"q{number}", Resumes=f"old{number}")
+        fleet.set_healthy()
+        status, rest, whole = await fleet.take_up(
+            f"q{number}b", f"q{number}", data
+        )
+        assert (status, whole) == (200, True)
+        assert len(versions_in(data + rest)) == 1
