Send nothing to a target that leaves during the wait for a permit

A target may say that it leaves, or asks to be left alone, while the router waits up to 120 ms for the permit of a request that it has placed there; the request was sent nevertheless. It is placed anew now. The rank in another router's request for a permit is bounded from below as well. Found by reading the fix of the limits; test_target_that_leaves_during_the_wait_for_a_permit_gets_no_work failed before (200 instead of 503).

--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -188,10 +188,12 @@
         """
         for _ in range(MAX_PERMIT_REQUESTS):
             choice = self._choose_target()
-            limited = choice.target.limit_per_s is not None
-            wait_ms = await self._context.permits.acquire(
-                choice.target, self._rank
-            )
+            target = choice.target
+            limited = target.limit_per_s is not None
+            wait_ms = await self._context.permits.acquire(target, self._rank)
+            if target.leaving or target.backing_off:
+                # It said so while this router waited for the permit.
+                continue
             if limited:
                 self._context.metrics.permits.record(
                     1, {"outcome": "refused" if wait_ms else "granted"}
@@ -201,8 +203,8 @@
                 return choice
             self._request_log.log(
                 "request.no_permit",
-                target=choice.target.target_id,
-                limit_per_s=choice.target.limit_per_s,
+                target=target.target_id,
+                limit_per_s=target.limit_per_s,
                 rank=self._rank,
                 wait_ms=wait_ms,
             )
--- a/src/bulrushdale/routing/rate_limits.py
+++ b/src/bulrushdale/routing/rate_limits.py
@@ -81,7 +81,7 @@
         self._updated_ms = now_ms
         needed = 1.0
         if self._taken % OPEN_INTERVAL:
-            needed += burst * min(rank, MAX_RANK) / MAX_RANK
+            needed += burst * min(max(rank, 0), MAX_RANK) / MAX_RANK
         # Rounding must not keep a full bucket below its size.
         missing = needed - self._tokens - 1e-9
         if missing > 0:
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 import time
+import types
 
 import aiohttp
 import multidict
@@ -301,3 +302,33 @@
         if limit.target_id == "t7"
     ]
     assert not ended
+
+
+async def test_target_that_leaves_during_the_wait_for_a_permit_gets_no_work(
+    deployment,
+):
+    router = deployment.routers[0]
+    target = router._targets.require("t1")
+    router._targets.mark_leaving(router._targets.require("t2"), "test")
+    target.set_limit(50.0, target._clock.now_ms())
+
+    async def acquire(asked, _):
+        router._targets.mark_leaving(asked, "test")
+        return 0
+
+    router._context.permits = types.SimpleNamespace(acquire=acquire)
+    async with aiohttp.ClientSession() as caller:
+        response = await send(deployment, router, 1, "/lookup/x", caller)
+    assert response.status == 503
+    assert not deployment.targets[0].received
+
+
+@pytest.mark.parametrize("rank", [-5, 0, rate_limits.MAX_RANK, 1_000])
+def test_rank_of_another_router_cannot_empty_a_bucket(clock, rank):
+    limiter = rate_limits.RateLimiter(clock)
+    limiter.take("t1", 4.0, rank)
+    taken = 0
+    for _ in range(4_000):
+        clock.advance(1)
+        taken += not limiter.take("t1", 4.0, rank)
+    assert taken <= 4 * 4 + 1
