Proxy: move the version that a stream is bound to into a module

forwarding/stream_version finds and keeps it; the proxy only asks for the versions to choose among. No change of behaviour: the tests of versions, of errors within streams and of at most once pass as before.

--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -1,7 +1,6 @@
 """Forwarding of one request to targets, with retries and failover."""
 
 import asyncio
-import contextlib
 
 import aiohttp
 from aiohttp import web
@@ -13,6 +12,7 @@
 from bulrushdale.forwarding import events
 from bulrushdale.forwarding import prompt_guard
 from bulrushdale.forwarding import request_log as request_log_module
+from bulrushdale.forwarding import stream_version
 from bulrushdale import results
 from bulrushdale.routing import access
 from bulrushdale.routing import messages
@@ -32,9 +32,6 @@
 # Targets that a request asks for a permit before it is refused. With a permit
 # at every second target, fewer than one request in 200 misses all of them.
 MAX_PERMIT_REQUESTS = 8
-# How long a take-up waits for the version history of a router that starts. The
-# store responds within a few ms.
-RESTORE_WAIT_MS = 300
 # Responses larger than this are cut off. No user's response comes close.
 MAX_RESPONSE_BYTES = 64 << 20
 # Prompt parts in a log line, the last ones of a long chat.
@@ -72,7 +69,6 @@
         "_guard",
         "_response",
         "_version",
-        "_stream_id",
         "_event_parser",
         "_request_log",
     )
@@ -96,10 +92,9 @@
         self._deadline_ms = received_ms + min(
             deadline_ms, admitted.route.timeout_ms
         )
-        self._stream_id = inbound.request_id
-        if inbound.resume_after is not None and inbound.resumes:
-            self._stream_id = inbound.resumes
-        self._service = admitted.route.service_for(self._stream_id) or ""
+        self._service = (
+            admitted.route.service_for(stream_version.stream_id(inbound)) or ""
+        )
         self._tried: set[str] = set()
         self._attempts = 0
         self._may_have_run_at: list[targets_module.Target] = []
@@ -113,8 +108,9 @@
             inbound.shared_part_ids,
         )
         self._response: web.StreamResponse | None = None
-        # Version of the software that began the stream; none before that.
-        self._version: str | None = None
+        self._version = stream_version.StreamVersion(
+            context, inbound, admitted.route, self._service
+        )
         self._event_parser = events.EventParser(inbound.resume_after)
         self._request_log = request_log_module.RequestLog(
             context.metrics,
@@ -146,7 +142,7 @@
         # Engines batch requests and need no free slot, so routes with prefix
         # affinity skip the overload check.
         if self._route.kind is routes.Kind.STREAM:
-            await self._bind_resumed_version()
+            await self._version.bind_take_up(self._request_log)
         if not self._route.prefix_affinity:
             overload.check(
                 self._context.selection.service_load(self._service),
@@ -224,7 +220,7 @@
         if withheld is not None:
             raise self._withheld_error(withheld)
         choice = self._choose_of_version()
-        if choice is None and not self._version_has_targets():
+        if choice is None and not self._version.has_targets():
             raise self._not_resumable()
         if choice is None:
             raise self._final_error(
@@ -235,15 +231,8 @@
         return choice
 
     def _choose_of_version(self) -> selection_module.Choice | None:
-        """Return the next target, of the version that the stream needs.
-
-        A new stream prefers the version that follows from its id, so that it
-        can be taken up after all routers were lost.
-        """
-        versions = [self._version]
-        if self._version is None and self._route.resumable:
-            versions.insert(0, self._preferred_version())
-        for version in dict.fromkeys(versions):
+        """Return the next target, of a version that the stream may have."""
+        for version in self._version.candidates():
             choice = self._context.selection.choose(
                 self._inbound,
                 self._route,
@@ -257,19 +246,6 @@
                 return choice
         return None
 
-    def _preferred_version(self) -> str | None:
-        """Return the version of a new stream; none while there is one."""
-        composition = self._context.targets.composition(self._service)
-        self._context.version_history.update(self._service, composition)
-        if len(composition.counts) < 2:
-            return None
-        return composition.version_of(self._stream_id)
-
-    def _version_has_targets(self) -> bool:
-        """Return whether the stream's version has a target in the list."""
-        composition = self._context.targets.composition(self._service)
-        return self._version in (None, *dict(composition.counts))
-
     def _record_choice(self, choice: selection_module.Choice) -> None:
         """Record and log that the request is now sent to a target."""
         self._retry_reserved = False
@@ -377,7 +353,7 @@
         return (
             self._may_retry()
             and self._context.selection.has_untried(
-                self._service, self._tried, self._version
+                self._service, self._tried, self._version.bound
             )
             and self._reserve_retry()
         )
@@ -718,7 +694,7 @@
                 )
             parsed = self._event_parser.feed(data)
             if parsed.data:
-                self._bind_version(target)
+                self._version.bind(target)
                 response = await self._started_response(opened.head)
                 await response.write(parsed.data)
             if parsed.count:
@@ -741,67 +717,9 @@
                     )
                 return None
 
-    def _bind_version(self, target: targets_module.Target) -> None:
-        """Let the stream go on only at the version that began it.
-
-        Other routers are told of it unless it follows from the stream's id.
-        """
-        if self._version is not None:
-            return
-        self._version = target.listing.version
-        if self._route.resumable and self._possible_versions() != {
-            self._version
-        }:
-            self._context.stream_versions.record(
-                self._stream_id, self._version
-            )
-
-    def _possible_versions(self) -> frozenset[str]:
-        return self._context.version_history.possible_versions(
-            self._service, self._stream_id, self._route.timeout_ms
-        )
-
-    async def _bind_resumed_version(self) -> None:
-        """Find the version of a stream that the caller takes up.
-
-        :raises RefusedError: if it isn't known.
-        """
-        if self._inbound.resume_after is None:
-            return
-        composition = self._context.targets.composition(self._service)
-        history = self._context.version_history
-        history.update(self._service, composition)
-        known = self._context.stream_versions.get(self._stream_id)
-        if known is None and not self._context.versions_restored.is_set():
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(RESTORE_WAIT_MS / 1000):
-                    await self._context.versions_restored.wait()
-        possible = self._possible_versions()
-        if not self._inbound.resumes and not history.is_settled(
-            self._service, self._route.timeout_ms
-        ):
-            possible = frozenset()
-        if known is None and len(possible) == 1:
-            (known,) = possible
-        self._context.metrics.resumed_streams.record(
-            1, {"outcome": "refused" if known is None else "placed"}
-        )
-        self._request_log.log(
-            "request.resumed",
-            resumes=self._inbound.resumes,
-            software=known or "",
-            possible=sorted(possible),
-        )
-        if known is None:
-            raise refusals.refuse(
-                results.Code.STREAM_NOT_RESUMABLE,
-                "the software version that began the stream isn't known",
-            )
-        self._version = known
-
     def _not_resumable(self) -> Exception:
         """Return the error of a stream whose version has no target left."""
-        detail = f"version {self._version!r} has no target any more"
+        detail = f"version {self._version.bound!r} has no target any more"
         if self._response is not None or self._may_have_run_at:
             return self._final_error(detail)
         return refusals.refuse(results.Code.STREAM_NOT_RESUMABLE, detail)
--- /dev/null
+++ b/src/bulrushdale/forwarding/stream_version.py
@@ -0,0 +1,141 @@
+"""The software version that one stream is bound to."""
+
+import asyncio
+import contextlib
+
+from bulrushdale.forwarding import context as context_module
+from bulrushdale.forwarding import request_log as request_log_module
+from bulrushdale import results
+from bulrushdale.routing import messages
+from bulrushdale.routing import refusals
+from bulrushdale.routing import routes
+from bulrushdale.routing import targets as targets_module
+from bulrushdale.routing import versions
+
+# How long a take-up waits for the version history of a router that starts. The
+# store responds within a few ms.
+RESTORE_WAIT_MS = 300
+
+
+def stream_id(inbound: messages.InboundRequest) -> str:
+    """Return the id of the request that began a stream, or begins it."""
+    if inbound.resume_after is not None and inbound.resumes:
+        return inbound.resumes
+    return inbound.request_id
+
+
+class StreamVersion:
+    """Finds and keeps the version at which one stream may go on.
+
+    :param context: the components of the router.
+    :param inbound: the request.
+    :param route: its route.
+    :param service: the service that is to run it.
+
+    :ivar bound: the version that began the stream; none before that.
+    """
+
+    __slots__ = ("bound", "_context", "_inbound", "_route", "_service")
+
+    def __init__(
+        self,
+        context: context_module.Context,
+        inbound: messages.InboundRequest,
+        route: routes.Route,
+        service: str,
+    ) -> None:
+        self.bound: str | None = None
+        self._context = context
+        self._inbound = inbound
+        self._route = route
+        self._service = service
+
+    @property
+    def _stream_id(self) -> str:
+        return stream_id(self._inbound)
+
+    def _composition(self) -> versions.Composition:
+        """Return the composition in force, and record it in the history."""
+        composition = self._context.targets.composition(self._service)
+        self._context.version_history.update(self._service, composition)
+        return composition
+
+    def candidates(self) -> list[str | None]:
+        """Return the versions to choose a target of, the preferred first.
+
+        A new stream prefers the version that follows from its id, so that it
+        can be taken up after all routers were lost. None stands for any.
+        """
+        if self.bound is not None or not self._route.resumable:
+            return [self.bound]
+        composition = self._composition()
+        if len(composition.counts) < 2:
+            return [None]
+        return [composition.version_of(self._stream_id), None]
+
+    def has_targets(self) -> bool:
+        """Return whether the version has a target in the list."""
+        return self.bound in (None, *dict(self._composition().counts))
+
+    def bind(self, target: targets_module.Target) -> None:
+        """Let the stream go on only at the version of its first target.
+
+        Other routers are told of it unless it follows from the stream's id.
+        """
+        if self.bound is not None:
+            return
+        self.bound = target.listing.version
+        if self._route.resumable and self._possible() != {self.bound}:
+            self._context.stream_versions.record(self._stream_id, self.bound)
+
+    def _possible(self) -> frozenset[str]:
+        """Return the versions that may have begun the stream by its id."""
+        history = self._context.version_history
+        timeout_ms = self._route.timeout_ms
+        is_named = self._inbound.resume_after is None or self._inbound.resumes
+        if not is_named and not history.is_settled(self._service, timeout_ms):
+            return frozenset()
+        return history.possible_versions(
+            self._service, self._stream_id, timeout_ms
+        )
+
+    async def bind_take_up(
+        self, request_log: request_log_module.RequestLog
+    ) -> None:
+        """Bind a stream that the caller takes up; others stay unbound.
+
+        :param request_log: logs the decision.
+        :raises RefusedError: if the version isn't known.
+        """
+        if self._inbound.resume_after is None:
+            return
+        self._composition()
+        known = self._context.stream_versions.get(self._stream_id)
+        if known is None:
+            await self._wait_until_restored()
+        possible = self._possible()
+        if known is None and len(possible) == 1:
+            (known,) = possible
+        self._context.metrics.resumed_streams.record(
+            1, {"outcome": "refused" if known is None else "placed"}
+        )
+        request_log.log(
+            "request.resumed",
+            resumes=self._inbound.resumes,
+            software=known or "",
+            possible=sorted(possible),
+        )
+        if known is None:
+            raise refusals.refuse(
+                results.Code.STREAM_NOT_RESUMABLE,
+                "the software version that began the stream isn't known",
+            )
+        self.bound = known
+
+    async def _wait_until_restored(self) -> None:
+        """Wait briefly for the history from before this router started."""
+        restored = self._context.versions_restored
+        if not restored.is_set():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(RESTORE_WAIT_MS / 1000):
+                    await restored.wait()
