Logs: tell which requests a crashed target had, by fingerprint

The logs named the shared parts of prompts, and a target that broke its connections before a response began counted as crashed at no router: three hypotheses on the request that crashes targets couldn't be told apart.

request.placed has a fingerprint (team, method, path, body); target.crashed names the fingerprints by progress and is written in that case too. Which requests are withheld is unchanged.

--- a/src/bulrushdale/forwarding/crashes.py
+++ b/src/bulrushdale/forwarding/crashes.py
@@ -1,7 +1,7 @@
-"""Detection of targets that crash while they respond.
+"""Detection of targets that crash while they work on requests.
 
-A connection that breaks within a response may have been reset on the way. If
-the target accepts no new connections either, it counts as crashed.
+A connection that breaks before its response has ended may have been reset on
+the way. If the target accepts no new connections either, it counts as crashed.
 """
 
 import asyncio
@@ -11,31 +11,54 @@
 
 from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import probes
+from bulrushdale.routing import messages
 from bulrushdale.routing import targets as targets_module
 
 LOG = logging.getLogger(__name__)
 
-# Prompt parts in a log line, to bound its length.
+# Prompt parts and fingerprints in a log line, to bound its length.
 MAX_LOGGED_PARTS = 32
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LostRequest:
+    """A request whose connection broke before the response ended.
+
+    :param progress: how far the target got with the response.
+    :param part_ids: shared parts of its prompt.
+    :param fingerprint: name of the request, equal each time that it comes.
+    """
+
+    progress: messages.Progress
+    part_ids: tuple[str, ...]
+    fingerprint: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Crash:
     """A target that crashed, as seen by this router.
 
     :param target: the target.
     :param crashed_ms: when its connections broke, in ms of the clock.
-    :param prompts: shared parts of the prompts whose response had begun
-        without an event, one entry per request.
+    :param requests: the requests there whose response had no event yet.
     """
 
     target: targets_module.Target
     crashed_ms: int
-    prompts: tuple[tuple[str, ...], ...]
+    requests: tuple[LostRequest, ...]
+
+    @property
+    def prompts(self) -> tuple[tuple[str, ...], ...]:
+        """Shared parts of the prompts whose response had begun."""
+        return tuple(
+            request.part_ids
+            for request in self.requests
+            if request.progress is messages.Progress.BEGUN and request.part_ids
+        )
 
 
 class CrashDetector:
-    """Checks targets whose connections broke within a response.
+    """Checks targets whose connections broke before a response ended.
 
     :param prober: checks whether targets accept connections.
     :param clock: the clock.
@@ -53,37 +76,50 @@
         self._prober = prober
         self._clock = clock
         self._on_crash = on_crash
-        # Prompts of the connections lost since a check of their target began.
-        self._lost: dict[targets_module.Target, list[tuple[str, ...]]] = {}
+        # Requests without an event that were lost since a check of their
+        # target began.
+        self._lost: dict[targets_module.Target, list[LostRequest]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def record_lost(
-        self, target: targets_module.Target, part_ids: tuple[str, ...]
+        self, target: targets_module.Target, request: LostRequest
     ) -> None:
-        """Record a connection lost within a response, and check its target.
+        """Record a connection that broke, and check its target.
 
         :param target: the target.
-        :param part_ids: shared parts of the prompt, if the response had begun
-            without an event; otherwise empty.
+        :param request: the request on the connection.
         """
-        prompts = self._lost.get(target)
-        if prompts is None:
-            prompts = self._lost[target] = []
+        requests = self._lost.get(target)
+        if requests is None:
+            requests = self._lost[target] = []
             task = asyncio.create_task(self._check(target))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        if part_ids:
-            prompts.append(part_ids)
+        if request.progress is not messages.Progress.EVENTS:
+            requests.append(request)
 
     async def _check(self, target: targets_module.Target) -> None:
         lost_ms = self._clock.now_ms()
         try:
             crashed = await self._prober.is_unreachable(target)
         finally:
-            prompts = tuple(self._lost.pop(target))
+            requests = tuple(self._lost.pop(target))
         if not crashed:
             return
-        part_ids = sorted({part_id for parts in prompts for part_id in parts})
+        crash = Crash(target, lost_ms, requests)
+        part_ids = sorted(
+            {part_id for parts in crash.prompts for part_id in parts}
+        )
+        begun = [
+            request.fingerprint
+            for request in requests
+            if request.progress is messages.Progress.BEGUN
+        ]
+        sent = [
+            request.fingerprint
+            for request in requests
+            if request.progress is messages.Progress.SENT
+        ]
         LOG.warning(
             "target crashed",
             extra={
@@ -91,8 +127,10 @@
                 "target": target.target_id,
                 "service": target.listing.service,
                 "started_ms": target.listing.started_ms,
-                "answering": len(prompts),
+                "answering": len(begun),
                 "parts": part_ids[:MAX_LOGGED_PARTS],
+                "begun": begun[:MAX_LOGGED_PARTS],
+                "sent": sent[:MAX_LOGGED_PARTS],
             },
         )
-        self._on_crash(Crash(target, lost_ms, prompts))
+        self._on_crash(crash)
--- a/src/bulrushdale/forwarding/prompt_guard.py
+++ b/src/bulrushdale/forwarding/prompt_guard.py
@@ -21,6 +21,7 @@
     :param crash_detector: finds out which targets crashed.
     :param service: the service that is to run the request.
     :param part_ids: the shared parts of its prompt.
+    :param fingerprint: name of the request, equal each time that it comes.
 
     :ivar progress: how far the target got with the response.
     """
@@ -30,6 +31,7 @@
         "_crash_detector",
         "_service",
         "_part_ids",
+        "_fingerprint",
         "_withdraw",
         "progress",
     )
@@ -40,11 +42,13 @@
         crash_detector: crashes.CrashDetector,
         service: str,
         part_ids: tuple[str, ...],
+        fingerprint: str,
     ) -> None:
         self._quarantine = quarantine
         self._crash_detector = crash_detector
         self._service = service
         self._part_ids = part_ids
+        self._fingerprint = fingerprint
         self._withdraw: abc.Callable[[], None] | None = None
         self.progress = messages.Progress.SENT
 
@@ -90,10 +94,12 @@
 
     def record_lost(self, target: targets_module.Target) -> None:
         """Record that the connection broke off before the response ended."""
-        if self.progress is messages.Progress.BEGUN:
-            self._crash_detector.record_lost(target, self._part_ids)
-        elif self.progress is messages.Progress.EVENTS:
-            self._crash_detector.record_lost(target, ())
+        self._crash_detector.record_lost(
+            target,
+            crashes.LostRequest(
+                self.progress, self._part_ids, self._fingerprint
+            ),
+        )
 
     def may_repeat(self) -> bool:
         """Return whether the request may be sent again after a failure.
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -15,6 +15,7 @@
 from bulrushdale.forwarding import stream_version
 from bulrushdale import results
 from bulrushdale.routing import access
+from bulrushdale.routing import fingerprint
 from bulrushdale.routing import messages
 from bulrushdale.routing import overload
 from bulrushdale.routing import quarantine
@@ -66,6 +67,7 @@
         "_retry_reserved",
         "_sent_ms",
         "_had_free_slot",
+        "_fingerprint",
         "_guard",
         "_response",
         "_version",
@@ -101,11 +103,16 @@
         self._retry_reserved = False
         self._sent_ms = received_ms
         self._had_free_slot = False
+        team = admitted.team
+        self._fingerprint = fingerprint.request_fingerprint(
+            inbound, team.name if team is not None else None
+        )
         self._guard = prompt_guard.PromptGuard(
             context.quarantine,
             context.crash_detector,
             self._service,
             inbound.shared_part_ids,
+            self._fingerprint,
         )
         self._response: web.StreamResponse | None = None
         self._version = stream_version.StreamVersion(
@@ -264,6 +271,7 @@
             resume_after=self._event_parser.last_id,
             resumes=self._inbound.resumes,
             software=target.listing.version,
+            fingerprint=self._fingerprint,
         )
 
     def _withheld_error(self, withheld: quarantine.Withheld) -> Exception:
