--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -8,17 +8,11 @@
 
 from bulrushdale.routing import crash_evidence
 from bulrushdale.routing import quarantine
-from examples.standins import scripted_target
-from tests import gateway_fixtures
+from tests import crashing_pool
 
-TARGETS = 5
-# Targets of the users are back after some seconds; shorter here.
-RESTART_MS = 300
 DEADLY = "dead"
-# The users allow three requests after this time from the fifth crash on. The
-# tests allow less time than the users' 3,000 ms.
+# The users allow three requests some time after the fifth crash.
 CRASHES_ALLOWED = 5
-REACTION_MS = 1_500
 LATE_ALLOWED = 3
 STEPS = 30
 STEP_MS = 100
@@ -26,78 +20,12 @@
 SERVED_SHARE = 0.5
 
 
-class Pool:
-    """Targets that crash on a prompt part and start again with a new id.
-
-    :ivar crashes_s: when they crashed, by the event loop's clock.
-    :ivar deadly_s: when requests with the part arrived.
-    """
-
-    def __init__(self, deployment):
-        self.deployment = deployment
-        self.crashes_s = []
-        self.deadly_s = []
-        self._numbers = itertools.count()
-        self._restarts = set()
-
-    async def start_target(self):
-        name = f"t{next(self._numbers)}"
-        self.arm(name, await self.deployment.add_target(name))
-
-    def arm(self, name, target):
-        """Make a target crash on the deadly part."""
-
-        async def script(request, writer):
-            parts = request.headers.get("x-prompt-prefix", "")
-            if DEADLY not in parts:
-                await asyncio.sleep(0.02)
-                return await gateway_fixtures.respond(request, writer)
-            loop = asyncio.get_running_loop()
-            self.deadly_s.append(loop.time())
-            writer.write(scripted_target.stream_head(request))
-            await writer.drain()
-            await asyncio.sleep(0.03)
-            await self.crash(name, target)
-            return False
-
-        target.script = script
-
-    async def crash(self, name, target):
-        """Crash a target once, however many requests reached it."""
-        if target not in self.deployment.targets:
-            return
-        self.crashes_s.append(asyncio.get_running_loop().time())
-        await target.crash()
-        self.deployment.targets.remove(target)
-        restart = asyncio.create_task(self._restart(name))
-        self._restarts.add(restart)
-        restart.add_done_callback(self._restarts.discard)
-
-    async def _restart(self, name):
-        await self.deployment.store.put("keyed.servers", name, b"")
-        await asyncio.sleep(RESTART_MS / 1000)
-        await self.start_target()
-
-    def late_requests(self):
-        """Return how many deadly requests came after the reaction time."""
-        if len(self.crashes_s) < CRASHES_ALLOWED:
-            return 0
-        from_s = self.crashes_s[CRASHES_ALLOWED - 1] + REACTION_MS / 1000
-        return sum(1 for sent_s in self.deadly_s if sent_s > from_s)
-
-
 @pytest.fixture
 async def pool():
-    """Start two routers in front of targets that crash."""
-    async with gateway_fixtures.running_deployment("first") as deployment:
-        pool = Pool(deployment)
-        pool.arm("first", deployment.targets[0])
-        for _ in range(TARGETS - 1):
-            await pool.start_target()
-        await deployment.add_router(router="r2", data_centre="dc2")
-        for router in deployment.routers:
-            await deployment.wait_ready(router)
-        await asyncio.sleep(1)
+    """Start targets that crash on the deadly part."""
+    async with crashing_pool.running_pool(
+        lambda request: DEADLY in request.headers.get("x-prompt-prefix", "")
+    ) as pool:
         yield pool
 
 
@@ -162,7 +90,7 @@
             sound.append(result[1])
         await asyncio.sleep(STEP_MS / 1000)
     late = sound[len(sound) // 2 :]
-    assert pool.late_requests() <= LATE_ALLOWED
+    assert pool.late_requests(CRASHES_ALLOWED) <= LATE_ALLOWED
     assert sum(late) >= len(late) * SERVED_SHARE
 
 
