Block single requests that crash each target that runs them

Where it was found, by its prompt parts, sound requests with the same parts were withheld.

Cause: the quarantine knew only the parts that prompts share. Sound requests cleared them again and again; plain services have none, and a response that had not begun was no evidence, which all plain responses haven't.

Why this works: a fingerprint of the request counts as one more part of its prompt, so the same evidence, reports and saved form find it: other requests can't clear it, and a part that crashes targets is still at more crashes than any one request. Plain requests that were sent are suspects; streams that waited are only where nothing better is known. One client attempt costs two targets at most.

Ruled out: a fingerprint of the last prompt part (plain services have none); blocking after two crashes (a sound request repeated beside the deadly one is at both). test_crashing_prompts sends a body with each prompt now, as real requests do; its checks are the same.

--- a/src/bulrushdale/forwarding/crashes.py
+++ b/src/bulrushdale/forwarding/crashes.py
@@ -25,11 +25,13 @@
     """A request whose connection broke before the response ended.
 
     :param progress: how far the target got with the response.
+    :param may_have_begun: whether the target may have begun to work on it.
     :param part_ids: shared parts of its prompt.
     :param fingerprint: name of the request, equal each time that it comes.
     """
 
     progress: messages.Progress
+    may_have_begun: bool
     part_ids: tuple[str, ...]
     fingerprint: str
 
@@ -48,13 +50,14 @@
     requests: tuple[LostRequest, ...]
 
     @property
-    def prompts(self) -> tuple[tuple[str, ...], ...]:
-        """Shared parts of the prompts whose response had begun."""
-        return tuple(
-            request.part_ids
-            for request in self.requests
-            if request.progress is messages.Progress.BEGUN and request.part_ids
-        )
+    def begun(self) -> list[LostRequest]:
+        """Requests that the target may have begun to work on."""
+        return [r for r in self.requests if r.may_have_begun]
+
+    @property
+    def waiting(self) -> list[LostRequest]:
+        """The other requests."""
+        return [r for r in self.requests if not r.may_have_begun]
 
 
 class CrashDetector:
@@ -108,18 +111,8 @@
             return
         crash = Crash(target, lost_ms, requests)
         part_ids = sorted(
-            {part_id for parts in crash.prompts for part_id in parts}
+            {part for request in crash.begun for part in request.part_ids}
         )
-        begun = [
-            request.fingerprint
-            for request in requests
-            if request.progress is messages.Progress.BEGUN
-        ]
-        sent = [
-            request.fingerprint
-            for request in requests
-            if request.progress is messages.Progress.SENT
-        ]
         LOG.warning(
             "target crashed",
             extra={
@@ -127,10 +120,17 @@
                 "target": target.target_id,
                 "service": target.listing.service,
                 "started_ms": target.listing.started_ms,
-                "answering": len(begun),
+                "answering": sum(
+                    request.progress is messages.Progress.BEGUN
+                    for request in requests
+                ),
                 "parts": part_ids[:MAX_LOGGED_PARTS],
-                "begun": begun[:MAX_LOGGED_PARTS],
-                "sent": sent[:MAX_LOGGED_PARTS],
+                "begun": _fingerprints(crash.begun),
+                "waiting": _fingerprints(crash.waiting),
             },
         )
         self._on_crash(crash)
+
+
+def _fingerprints(requests: list[LostRequest]) -> list[str]:
+    return [request.fingerprint for request in requests][:MAX_LOGGED_PARTS]
--- a/src/bulrushdale/forwarding/gauges.py
+++ b/src/bulrushdale/forwarding/gauges.py
@@ -111,3 +111,9 @@
         lambda: {"active": len(quarantine.active())},
         "state",
     )
+    gauge(
+        "blocked_requests",
+        "Single requests that no target gets, as they crash targets.",
+        lambda: {"active": len(quarantine.blocks())},
+        "state",
+    )
--- a/src/bulrushdale/forwarding/peer_transport.py
+++ b/src/bulrushdale/forwarding/peer_transport.py
@@ -10,6 +10,7 @@
 import base64
 from collections import abc
 import contextlib
+import itertools
 import logging
 import random
 import typing
@@ -24,6 +25,7 @@
 from bulrushdale.forwarding import permits
 from bulrushdale.forwarding import replica as replica_module
 from bulrushdale import records
+from bulrushdale.routing import blocked_requests
 from bulrushdale.routing import crash_evidence
 from bulrushdale.routing import health
 from bulrushdale.routing import peers as peers_module
@@ -52,8 +54,8 @@
     """Encode a report as a compressed datagram.
 
     Crashes are left out if there are none: routers of earlier versions ignore
-    reports with fields that they don't know. Limits and streams follow in
-    a second compressed block, which they don't read.
+    reports with fields that they don't know. What they don't know follows in
+    a second compressed block, which they don't read or read in part.
     """
     crashes = [
         [
@@ -106,7 +108,14 @@
         ]
         for limit in report.limits
     ]
-    return data + _compress([limits, list(report.streams.items())])
+    waiting = [crash.waiting for crash in report.crashes]
+    blocked = [
+        [block.fingerprint, block.remaining_ms, block.crashes]
+        for block in report.blocked
+    ]
+    return data + _compress(
+        [limits, list(report.streams.items()), waiting, blocked]
+    )
 
 
 def _compress(data: typing.Any) -> bytes:
@@ -139,7 +148,7 @@
             fields[7:13]
         )
         crashes, cleared = fields[13:] or ([], [])
-        limits, streams = extensions[0][:2] if extensions else ([], [])
+        limits, streams, waiting, blocked = _pad(extensions, 4)
         targets = {
             target_id: reports.TargetReport(
                 in_flight, health.Results(done, failed)
@@ -166,16 +175,36 @@
                 (target_id, int(started_ms))
                 for target_id, started_ms in leaving
             ),
-            crashes=tuple(_decode_crash(*crash) for crash in crashes),
+            crashes=tuple(
+                _decode_crash(crash, fingerprints)
+                for crash, fingerprints in zip(
+                    crashes,
+                    waiting or itertools.repeat([]),
+                    strict=False,
+                )
+            ),
             cleared=tuple(map(int, cleared)),
             grants_permits=bool(extensions),
             limits=tuple(_decode_limit(*limit) for limit in limits),
             streams={int(key): str(version) for key, version in streams},
+            blocked=tuple(
+                blocked_requests.BlockReport(*map(int, block))
+                for block in blocked
+            ),
         )
     except (TypeError, AttributeError, LookupError, zlib.error) as error:
         raise ValueError(repr(error)) from error
 
 
+def _pad(extensions: list[typing.Any], length: int) -> list[typing.Any]:
+    """Return the fields of the second block, empty lists if left out.
+
+    Routers of earlier versions send fewer fields, or no second block.
+    """
+    fields = list(extensions[0][:length]) if extensions else []
+    return fields + [[] for _ in range(length - len(fields))]
+
+
 def _decode_limit(
     target_id: str, started_ms: int, limit_per_s: float | None, age_ms: int
 ) -> rate_limits.LimitReport:
@@ -188,16 +217,15 @@
 
 
 def _decode_crash(
-    target_id: str,
-    started_ms: int,
-    age_ms: int,
-    prompts: list[list[int]],
+    fields: list[typing.Any], waiting: abc.Iterable[int]
 ) -> crash_evidence.CrashReport:
+    target_id, started_ms, age_ms, prompts = fields
     return crash_evidence.CrashReport(
         target_id,
         int(started_ms),
         int(age_ms),
         tuple(tuple(map(int, parts)) for parts in prompts),
+        tuple(map(int, waiting)),
     )
 
 
--- a/src/bulrushdale/forwarding/prompt_guard.py
+++ b/src/bulrushdale/forwarding/prompt_guard.py
@@ -10,6 +10,10 @@
 from bulrushdale.routing import targets as targets_module
 
 
+# Connections that may break before the first event of one request.
+MAX_LOST = 2
+
+
 class WithdrawnError(Exception):
     """The prompt got into quarantine while the request waited at a target."""
 
@@ -22,6 +26,8 @@
     :param service: the service that is to run the request.
     :param part_ids: the shared parts of its prompt.
     :param fingerprint: name of the request, equal each time that it comes.
+    :param streams: whether the response begins as soon as the target works on
+        the request; other responses begin once they are complete.
 
     :ivar progress: how far the target got with the response.
     """
@@ -32,7 +38,9 @@
         "_service",
         "_part_ids",
         "_fingerprint",
+        "_streams",
         "_withdraw",
+        "_lost",
         "progress",
     )
 
@@ -43,18 +51,23 @@
         service: str,
         part_ids: tuple[str, ...],
         fingerprint: str,
+        streams: bool,
     ) -> None:
         self._quarantine = quarantine
         self._crash_detector = crash_detector
         self._service = service
         self._part_ids = part_ids
         self._fingerprint = fingerprint
+        self._streams = streams
         self._withdraw: abc.Callable[[], None] | None = None
+        self._lost = 0
         self.progress = messages.Progress.SENT
 
     def check(self) -> quarantine_module.Withheld | None:
         """Return why the request is withheld; none if it may be sent now."""
-        return self._quarantine.check(self._service, self._part_ids)
+        return self._quarantine.check(
+            self._service, self._part_ids, self._fingerprint
+        )
 
     @contextlib.asynccontextmanager
     async def attempt(self) -> abc.AsyncIterator[None]:
@@ -71,7 +84,10 @@
             async with asyncio.timeout(None) as limit:
                 self._withdraw = lambda: limit.reschedule(loop.time())
                 with self._quarantine.watch(
-                    self._service, self._part_ids, self._withdraw
+                    self._service,
+                    self._part_ids,
+                    self._fingerprint,
+                    self._withdraw,
                 ):
                     yield
         except TimeoutError:
@@ -90,24 +106,33 @@
         self.progress = messages.Progress.EVENTS
         if self._withdraw is not None:
             self._quarantine.stop_watching(self._withdraw)
-        self._quarantine.record_event(self._service, self._part_ids)
+        self._quarantine.record_event(
+            self._service, self._part_ids, self._fingerprint
+        )
 
     def record_lost(self, target: targets_module.Target) -> None:
         """Record that the connection broke off before the response ended."""
+        if self.progress is not messages.Progress.EVENTS:
+            self._lost += 1
         self._crash_detector.record_lost(
             target,
             crashes.LostRequest(
-                self.progress, self._part_ids, self._fingerprint
+                self.progress,
+                self.progress is messages.Progress.BEGUN or not self._streams,
+                self._part_ids,
+                self._fingerprint,
             ),
         )
 
     def may_repeat(self) -> bool:
         """Return whether the request may be sent again after a failure.
 
-        It may not if its response broke off before the first event, and its
-        prompt is under suspicion for earlier crashes.
+        It may not if its connection broke before the first event, and it or
+        its prompt is under suspicion for earlier crashes; nor if that happened
+        before to the same request, as two targets may have crashed on it.
         """
-        return (
-            self.progress is not messages.Progress.BEGUN
-            or self._quarantine.may_repeat(self._service, self._part_ids)
+        if self.progress is messages.Progress.EVENTS:
+            return True
+        return self._lost < MAX_LOST and self._quarantine.may_repeat(
+            self._service, self._part_ids, self._fingerprint
         )
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -113,6 +113,7 @@
             self._service,
             inbound.shared_part_ids,
             self._fingerprint,
+            admitted.route.kind is routes.Kind.STREAM,
         )
         self._response: web.StreamResponse | None = None
         self._version = stream_version.StreamVersion(
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -282,7 +282,11 @@
         for crash in report.crashes:
             self._crash_evidence.record(crash)
         if report.cleared:
-            self._crash_evidence.clear(report.cleared)
+            self._quarantine.clear(report.cleared)
+        if report.blocked:
+            self._quarantine.merge_blocks(
+                report.blocked, "another router reports it"
+            )
 
     def _record_crash(self, crash: crashes.Crash) -> None:
         """Count a crash, and record the prompts under suspicion."""
@@ -293,8 +297,20 @@
                 listing.started_ms,
                 self._clock.now_ms() - crash.crashed_ms,
                 tuple(
-                    tuple(quarantine.hash_parts(listing.service, part_ids))
-                    for part_ids in crash.prompts
+                    tuple(
+                        quarantine.hash_request(
+                            listing.service,
+                            request.part_ids,
+                            request.fingerprint,
+                        )
+                    )
+                    for request in crash.begun
+                ),
+                tuple(
+                    quarantine.hash_fingerprint(
+                        listing.service, request.fingerprint
+                    )
+                    for request in crash.waiting
                 ),
             ),
             announce=True,
@@ -454,6 +470,7 @@
                 grants_permits=True,
                 limits=self._targets.take_limits_to_report(),
                 streams=self._stream_versions.to_report(),
+                blocked=self._quarantine.blocks_to_report(),
             )
         )
 
--- a/src/bulrushdale/platform/quarantine_store.py
+++ b/src/bulrushdale/platform/quarantine_store.py
@@ -1,4 +1,4 @@
-"""Saves quarantines in the platform's store.
+"""Saves quarantines and blocked requests in the platform's store.
 
 Routers tell each other of crashes, and one that starts learns of quarantines
 from the others. Only the store knows them when all routers were down, and
@@ -14,6 +14,7 @@
 from bulrushdale import clock as clock_module
 from bulrushdale.platform import store as store_module
 from bulrushdale import records as records_module
+from bulrushdale.routing import blocked_requests
 from bulrushdale.routing import crash_evidence
 from bulrushdale.routing import quarantine as quarantine_module
 
@@ -25,6 +26,8 @@
 # Crashes saved per quarantine, the latest ones; a few more than it takes.
 MAX_CRASHES = 6
 CHECK_INTERVAL_MS = 500
+# Blocked requests are saved in as many keys, several in each.
+_BLOCKED_KEY_PREFIX = "blocked-"
 _RELEASED = b"[]"
 
 # What was saved under a key: the parts and the number of their crashes.
@@ -75,8 +78,42 @@
         raise ValueError(repr(error)) from error
 
 
+def _blocked_key(block: blocked_requests.BlockReport) -> str:
+    # The last bits of all fingerprints are the same.
+    return f"{_BLOCKED_KEY_PREFIX}{(block.fingerprint >> 32) % MAX_KEYS}"
+
+
+def _encode_blocks(
+    blocks: abc.Iterable[blocked_requests.BlockReport], wall_ms: int
+) -> bytes:
+    return orjson.dumps(
+        [
+            [block.fingerprint, wall_ms + block.remaining_ms, block.crashes]
+            for block in blocks
+        ]
+    )
+
+
+def _decode_blocks(
+    value: bytes, wall_ms: int
+) -> list[blocked_requests.BlockReport]:
+    """Decode saved blocks.
+
+    :raises ValueError: if the value holds no valid blocks.
+    """
+    try:
+        return [
+            blocked_requests.BlockReport(
+                int(fingerprint), int(until_wall_ms) - wall_ms, int(crashes)
+            )
+            for fingerprint, until_wall_ms, crashes in orjson.loads(value)
+        ]
+    except TypeError as error:
+        raise ValueError(repr(error)) from error
+
+
 class QuarantineStore:
-    """Saves the quarantines of this router, and restores those of others.
+    """Saves what this router withholds, and restores what others saved.
 
     :param store: the platform's store.
     :param quarantine: the quarantines.
@@ -84,7 +121,14 @@
     :param clock: the clock.
     """
 
-    __slots__ = ("_store", "_quarantine", "_evidence", "_clock", "_saved")
+    __slots__ = (
+        "_store",
+        "_quarantine",
+        "_evidence",
+        "_clock",
+        "_saved",
+        "_saved_blocks",
+    )
 
     def __init__(
         self,
@@ -98,6 +142,8 @@
         self._evidence = evidence
         self._clock = clock
         self._saved: dict[str, _Saved] = {}
+        # Fingerprints by key.
+        self._saved_blocks: dict[str, frozenset[int]] = {}
 
     async def run(self, is_reader: abc.Callable[[], bool]) -> None:
         """Restore and save the quarantines for the fleet until cancelled.
@@ -128,8 +174,12 @@
             )
             return False
         for record in page.records:
+            value, wall_ms = record.value or b"", self._clock.wall_ms()
             try:
-                crashes = _decode(record.value or b"", self._clock.wall_ms())
+                if record.key.startswith(_BLOCKED_KEY_PREFIX):
+                    self._restore_blocks(record.key, value, wall_ms)
+                    continue
+                crashes = _decode(value, wall_ms)
             except ValueError as error:
                 LOG.warning(
                     "invalid quarantine in the store skipped",
@@ -142,8 +192,35 @@
             self._saved[_key(culprit)] = (culprit.parts, culprit.crashes)
         return True
 
+    def _restore_blocks(self, key: str, value: bytes, wall_ms: int) -> None:
+        """Block the requests saved under a key.
+
+        :raises ValueError: if the value holds no valid blocks.
+        """
+        blocks = _decode_blocks(value, wall_ms)
+        self._quarantine.merge_blocks(blocks, "the store has it")
+        self._saved_blocks[key] = frozenset(b.fingerprint for b in blocks)
+
     async def save(self) -> None:
-        """Save the quarantines that changed, and clear those that ended."""
+        """Save what changed, and clear what ended."""
+        await self._save_quarantines()
+        await self._save_blocks()
+
+    async def _save_blocks(self) -> None:
+        blocks: dict[str, list[blocked_requests.BlockReport]] = {}
+        for block in self._quarantine.blocks():
+            blocks.setdefault(_blocked_key(block), []).append(block)
+        for key in blocks.keys() | self._saved_blocks.keys():
+            found = blocks.get(key, [])
+            names = frozenset(block.fingerprint for block in found)
+            if names == self._saved_blocks.get(key):
+                continue
+            value = _encode_blocks(found, self._clock.wall_ms())
+            crashes = max((block.crashes for block in found), default=0)
+            if await self._put(key, value, crashes):
+                self._saved_blocks[key] = names
+
+    async def _save_quarantines(self) -> None:
         culprits = {_key(c): c for c in self._quarantine.active()}
         for key, culprit in culprits.items():
             saved = (culprit.parts, culprit.crashes)
--- a/src/bulrushdale/routing/crash_evidence.py
+++ b/src/bulrushdale/routing/crash_evidence.py
@@ -6,6 +6,11 @@
 at each of its crashes and never gets an event; a part that gets an event after
 a crash is cleared of it.
 
+The fingerprint of a request counts as one more part of its prompt. Other
+requests share the parts and clear them, so it is all that remains if a single
+request crashes targets. Requests whose response had not begun probably waited:
+only their fingerprints are evidence, and only at crashes with no better one.
+
 Routers tell each other their crashes and the parts that they cleared, as the
 requests with a part arrive at any router, and each sees only its own.
 """
@@ -13,6 +18,7 @@
 import collections
 from collections import abc
 import dataclasses
+import itertools
 
 from bulrushdale import clock as clock_module
 
@@ -24,7 +30,9 @@
 # Crashes remembered, the latest ones: a rack of targets and a few more.
 MAX_CRASHES = 128
 # Prompts remembered per crash. A target begins few responses at a time.
-MAX_PROMPTS = 8
+MAX_PROMPTS = 16
+# Waiting requests remembered per crash.
+MAX_WAITING = 32
 # Parts remembered per prompt, the last ones of a long chat.
 MAX_PARTS = 32
 # Parts remembered in all, which bounds the time to find culprits to 10 ms.
@@ -32,6 +40,9 @@
 # Crashes within this time count once: a rack or a data centre that fails takes
 # down many targets at the same time, and any popular part with them.
 SIMULTANEOUS_MS = 100
+# Between crashes that count as two against a request: it may have gone from
+# one target to the next. A rack goes down within less.
+MIN_CRASH_INTERVAL_MS = 20
 # A new crash, and a cleared part, is in all reports for this time. Collectors
 # pass reports on every 250 to 800 ms.
 REPORTED_FOR_MS = 2_000
@@ -45,6 +56,19 @@
 
 # Hashes of the parts of a prompt.
 Prompt = frozenset[int]
+# The last bits of hashes of fingerprints, which tell them from other parts.
+_FINGERPRINT_MASK = 0xFFFF
+_FINGERPRINT_TAG = 0x5251
+
+
+def tag_fingerprint(part: int) -> int:
+    """Return the hash by which routers name the fingerprint of a request."""
+    return (part & ~_FINGERPRINT_MASK) | _FINGERPRINT_TAG
+
+
+def is_fingerprint(part: int) -> bool:
+    """Return whether a hash names a request, not a part of a prompt."""
+    return part & _FINGERPRINT_MASK == _FINGERPRINT_TAG
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,12 +80,20 @@
         crashes once.
     :param age_ms: time since the crash, in ms.
     :param prompts: hashes of the parts of each prompt under suspicion.
+    :param waiting: hashes of the fingerprints of the requests whose response
+        had not begun.
     """
 
     target_id: str
     started_ms: int
     age_ms: int
     prompts: tuple[tuple[int, ...], ...]
+    waiting: tuple[int, ...] = ()
+
+    @property
+    def size(self) -> int:
+        """Number of hashes in it."""
+        return sum(map(len, self.prompts)) + len(self.waiting)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,11 +103,20 @@
     :param parts: hashes of the parts; a prompt is meant if it has all of them.
     :param crashes: number of crashes that they explain.
     :param last_crash_ms: time of the last one, in ms of the clock.
+    :param separate_crashes: the same, where simultaneous crashes count once.
+    :param ambiguous: whether other parts explain one of the crashes as well.
     """
 
     parts: Prompt
     crashes: int
     last_crash_ms: int
+    separate_crashes: int = 0
+    ambiguous: bool = False
+
+    @property
+    def fingerprint(self) -> int | None:
+        """The request that it stands for; none for parts of prompts."""
+        return next(filter(is_fingerprint, self.parts), None)
 
 
 def limit_reports(
@@ -85,7 +126,7 @@
     found: list[CrashReport] = []
     parts = 0
     for report in reports:
-        parts += sum(map(len, report.prompts))
+        parts += report.size
         if found and parts > MAX_REPORTED_PARTS:
             break
         found.append(report)
@@ -98,36 +139,56 @@
     :param crashed_ms: when it crashed, in ms of the clock.
     :param learned_ms: when this router learned of it, in ms of the clock.
 
-    :ivar prompts: the prompts under suspicion, without cleared parts; crashes
-        without any are forgotten.
+    :ivar prompts: the prompts under suspicion, without cleared parts.
+    :ivar waiting: prompts of one part, the fingerprints of the requests whose
+        response had not begun.
     :ivar announced: whether this router tells the others of it.
     """
 
-    __slots__ = ("crashed_ms", "learned_ms", "prompts", "announced")
+    __slots__ = (
+        "crashed_ms",
+        "learned_ms",
+        "prompts",
+        "waiting",
+        "announced",
+    )
 
     def __init__(self, crashed_ms: int, learned_ms: int) -> None:
         self.crashed_ms = crashed_ms
         self.learned_ms = learned_ms
         self.prompts: set[Prompt] = set()
+        self.waiting: set[Prompt] = set()
         self.announced = False
 
     @property
     def size(self) -> int:
         """Number of parts in all prompts."""
-        return sum(map(len, self.prompts))
+        return sum(map(len, self.prompts)) + len(self.waiting)
+
+    @property
+    def suspects(self) -> set[Prompt]:
+        """The prompts of which one probably crashed the target."""
+        return self.prompts or self.waiting
 
-    def add(self, prompts: abc.Iterable[Prompt]) -> bool:
+    def add(
+        self, prompts: abc.Iterable[Prompt], waiting: abc.Iterable[Prompt]
+    ) -> bool:
         """Add prompts up to the maximum; return whether any is new."""
-        known = len(self.prompts)
-        for prompt in prompts:
-            if prompt and len(self.prompts) < MAX_PROMPTS:
-                self.prompts.add(prompt)
-        return len(self.prompts) > known
+        known = len(self.prompts) + len(self.waiting)
+        for found, added, most in (
+            (self.prompts, prompts, MAX_PROMPTS),
+            (self.waiting, waiting, MAX_WAITING),
+        ):
+            for prompt in added:
+                if prompt and len(found) < most:
+                    found.add(prompt)
+        return len(self.prompts) + len(self.waiting) > known
 
     def clear(self, parts: abc.Collection[int]) -> None:
         """Remove parts from all prompts, and prompts without any part."""
         cleared = {prompt.difference(parts) for prompt in self.prompts}
         self.prompts = {prompt for prompt in cleared if prompt}
+        self.waiting = {p for p in self.waiting if p.isdisjoint(parts)}
 
 
 class CrashEvidence:
@@ -172,11 +233,19 @@
                 *(
                     prompt
                     for crash in self._crashes.values()
-                    for prompt in crash.prompts
+                    for prompt in (*crash.prompts, *crash.waiting)
                 )
             )
         return self._suspected
 
+    def _by_suspicion(self, prompts: abc.Iterable[Prompt]) -> list[Prompt]:
+        """Return prompts, those with parts that were at earlier crashes first.
+
+        A crash has room for some of them only, and the one that crashes
+        targets is at each crash.
+        """
+        return sorted(prompts, key=self._suspected_parts().isdisjoint)
+
     def record(self, report: CrashReport, announce: bool = False) -> None:
         """Record a crash, or more prompts of a known one.
 
@@ -194,13 +263,19 @@
             crash = Crash(crashed_ms, now_ms)
         crash.announced |= announce
         crash.crashed_ms = min(crash.crashed_ms, crashed_ms)
-        changed = crash.add(
-            frozenset(
+
+        def uncleared(parts: abc.Iterable[int]) -> Prompt:
+            return frozenset(
                 part
-                for part in parts[-MAX_PARTS:]
+                for part in parts
                 if self._cleared_ms.get(part, -1) < crash.crashed_ms
             )
-            for parts in report.prompts[:MAX_PROMPTS]
+
+        changed = crash.add(
+            self._by_suspicion(
+                uncleared(parts[-MAX_PARTS:]) for parts in report.prompts
+            ),
+            self._by_suspicion(uncleared([part]) for part in report.waiting),
         )
         if not changed:
             return
@@ -224,9 +299,13 @@
             return
         for key, crash in list(self._crashes.items()):
             crash.clear(parts)
-            if not crash.prompts:
+            if not crash.suspects:
                 del self._crashes[key]
         self.revision += 1
+        self.record_cleared(parts)
+
+    def record_cleared(self, parts: abc.Iterable[int]) -> None:
+        """Remember that parts were cleared, and tell the other routers."""
         now_ms = self._clock.now_ms()
         for part in parts:
             self._cleared_ms[part] = now_ms
@@ -234,6 +313,10 @@
         while len(self._cleared_ms) > MAX_CLEARED:
             self._cleared_ms.popitem(last=False)
 
+    def was_cleared(self, part: int) -> bool:
+        """Return whether a part was cleared lately."""
+        return part in self._cleared_ms
+
     def expire(self) -> None:
         """Forget crashes that are too old to be evidence."""
         oldest_ms = self._clock.now_ms() - CRASH_TTL_MS
@@ -260,6 +343,7 @@
                 started_ms,
                 now_ms - crash.crashed_ms,
                 tuple(tuple(sorted(prompt)) for prompt in crash.prompts),
+                tuple(part for prompt in crash.waiting for part in prompt),
             )
             for (target_id, started_ms), crash in reversed(
                 self._crashes.items()
@@ -301,7 +385,7 @@
             if not any(
                 culprit.parts <= prompt
                 for culprit in culprits
-                for prompt in crash.prompts
+                for prompt in crash.suspects
             )
         ]
 
@@ -318,11 +402,14 @@
     """
     places: dict[int, set[tuple[int, Prompt]]] = collections.defaultdict(set)
     for crash in crashes:
-        for prompt in crash.prompts:
+        for prompt in crash.suspects:
             for part in prompt:
                 places[part].add((crash.crashed_ms, prompt))
     counts = {
-        part: _count_distinct({crashed_ms for crashed_ms, _ in found})
+        part: _count_distinct(
+            {crashed_ms for crashed_ms, _ in found},
+            MIN_CRASH_INTERVAL_MS if is_fingerprint(part) else SIMULTANEOUS_MS,
+        )
         for part, found in places.items()
     }
     most = max(counts.values(), default=0)
@@ -334,17 +421,30 @@
         if any(places[other] < places[part] for other in tied):
             continue
         together = frozenset.intersection(*(p for _, p in places[part]))
-        last_crash_ms = max(crashed_ms for crashed_ms, _ in places[part])
-        culprits[together] = Culprit(together, most, last_crash_ms)
-    return list(culprits.values())
+        culprits[together] = {crashed_ms for crashed_ms, _ in places[part]}
+    explained = collections.Counter(itertools.chain(*culprits.values()))
+    return [
+        Culprit(
+            parts,
+            most,
+            max(times_ms),
+            _count_distinct(times_ms, SIMULTANEOUS_MS),
+            any(explained[time_ms] > 1 for time_ms in times_ms),
+        )
+        for parts, times_ms in culprits.items()
+    ]
+
 
+def _count_distinct(times_ms: abc.Iterable[int], interval_ms: int) -> int:
+    """Return the number of crashes, where simultaneous ones count once.
 
-def _count_distinct(times_ms: abc.Iterable[int]) -> int:
-    """Return the number of crashes, where simultaneous ones count once."""
+    :param times_ms: when they happened, in ms.
+    :param interval_ms: crashes further apart than this count as two.
+    """
     count = 0
     last_ms: int | None = None
     for time_ms in sorted(times_ms):
-        if last_ms is None or time_ms - last_ms > SIMULTANEOUS_MS:
+        if last_ms is None or time_ms - last_ms > interval_ms:
             count += 1
             last_ms = time_ms
     return count
--- a/src/bulrushdale/routing/reports.py
+++ b/src/bulrushdale/routing/reports.py
@@ -4,6 +4,7 @@
 import dataclasses
 import itertools
 
+from bulrushdale.routing import blocked_requests
 from bulrushdale.routing import crash_evidence
 from bulrushdale.routing import health
 from bulrushdale.routing import rate_limits
@@ -86,6 +87,7 @@
     :param limits: some of the limits that targets named, or that ended.
     :param streams: versions of streams that don't follow from the streams'
         ids, by the hash of the id.
+    :param blocked: some of the requests that no target gets.
     """
 
     address: str
@@ -106,6 +108,7 @@
     grants_permits: bool = False
     limits: abc.Sequence[rate_limits.LimitReport] = ()
     streams: abc.Mapping[int, str] = dataclasses.field(default_factory=dict)
+    blocked: abc.Sequence[blocked_requests.BlockReport] = ()
 
 
 def apply_partial(report: Report, previous: Report | None) -> Report:
@@ -177,10 +180,12 @@
         key = (crash.target_id, crash.started_ms)
         known = merged.get(key, crash)
         prompts = dict.fromkeys([*known.prompts, *crash.prompts])
+        waiting = dict.fromkeys([*known.waiting, *crash.waiting])
         merged[key] = dataclasses.replace(
             known,
             age_ms=max(known.age_ms, crash.age_ms),
             prompts=tuple(prompts)[: crash_evidence.MAX_PROMPTS],
+            waiting=tuple(waiting)[: crash_evidence.MAX_WAITING],
         )
     recent = sorted(merged.values(), key=lambda crash: crash.age_ms)
     return crash_evidence.limit_reports(recent)
--- a/tests/crash_fixtures.py
+++ b/tests/crash_fixtures.py
@@ -25,11 +25,13 @@
             crash_report(number, *prompts, age_ms=age_ms), True
         )
 
-    def withholds(self, *part_ids, service=SERVICE):
-        return self.quarantine.check(service, part_ids) is not None
+    def withholds(self, *part_ids, service=SERVICE, fingerprint="own"):
+        return (
+            self.quarantine.check(service, part_ids, fingerprint) is not None
+        )
 
-    def answer(self, *part_ids):
-        self.quarantine.record_event(SERVICE, part_ids)
+    def answer(self, *part_ids, fingerprint="own"):
+        self.quarantine.record_event(SERVICE, part_ids, fingerprint)
 
     def send_to(self, *others):
         """Deliver a report, encoded as between routers."""
@@ -46,6 +48,8 @@
             {},
             crashes=self.quarantine.crashes_to_report(),
             cleared=self.evidence.recently_cleared(),
+            grants_permits=True,
+            blocked=self.quarantine.blocks_to_report(),
         )
         report = peer_transport.decode_report(
             peer_transport.encode_report(report)
@@ -53,7 +57,35 @@
         for other in others:
             for crash in report.crashes:
                 other.evidence.record(crash)
-            other.evidence.clear(report.cleared)
+            other.quarantine.clear(report.cleared)
+            other.quarantine.merge_blocks(report.blocked, "reported")
+
+    def crash_on(self, number, fingerprint, *part_ids, waiting=()):
+        """Record the crash of a target that had begun one request.
+
+        :param waiting: fingerprints of the streams that waited there.
+        """
+        self.evidence.record(
+            crash_evidence.CrashReport(
+                f"t{number}",
+                1,
+                0,
+                (
+                    tuple(
+                        quarantine_module.hash_request(
+                            SERVICE, part_ids, fingerprint
+                        )
+                    ),
+                )
+                if fingerprint
+                else (),
+                tuple(
+                    quarantine_module.hash_fingerprint(SERVICE, name)
+                    for name in waiting
+                ),
+            ),
+            True,
+        )
 
 
 def crash_report(number, *prompts, age_ms=0):
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -52,9 +52,10 @@
     """Send a request to one of the routers; return status and complete."""
     routers = pool.deployment.routers
     url = pool.deployment.url(path, routers[number % len(routers)])
-    async with caller.post(
-        url, headers=headers(f"q{number}", *parts)
-    ) as response:
+    # Requests with different prompts have different bodies.
+    sent = headers(f"q{number}", *parts)
+    body = sent["X-Prompt-Prefix"].encode()
+    async with caller.post(url, headers=sent, data=body) as response:
         try:
             await response.read()
         except aiohttp.ClientError:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -118,15 +118,15 @@
 def test_request_is_not_repeated_after_two_crashes(router):
     router.crash(0, crash_fixtures.DEADLY)
     assert router.quarantine.may_repeat(
-        crash_fixtures.SERVICE, crash_fixtures.DEADLY
+        crash_fixtures.SERVICE, crash_fixtures.DEADLY, "own"
     )
     router.clock.advance(200)
     router.crash(1, crash_fixtures.DEADLY)
     assert not router.quarantine.may_repeat(
-        crash_fixtures.SERVICE, crash_fixtures.DEADLY
+        crash_fixtures.SERVICE, crash_fixtures.DEADLY, "own"
     )
     assert router.quarantine.may_repeat(
-        crash_fixtures.SERVICE, ("first", "book")
+        crash_fixtures.SERVICE, ("first", "book"), "own"
     )
 
 
@@ -136,6 +136,7 @@
     with router.quarantine.watch(
         crash_fixtures.SERVICE,
         crash_fixtures.DEADLY,
+        "own",
         lambda: withdrawn.append(1),
     ):
         for _ in range(3):
--- a/tests/test_quarantine_store.py
+++ b/tests/test_quarantine_store.py
@@ -159,3 +159,34 @@
     await restored.restore()
     reader.send_to(other)
     assert other.withholds(*DEADLY)
+
+
+async def test_router_that_starts_alone_restores_blocked_requests(
+    store, standin, clock
+):
+    router, saved = start_router("r1", store, clock)
+    for number in range(3):
+        router.crash_on(number, "deadly", "book")
+        clock.advance(500)
+    assert router.withholds("book", fingerprint="deadly")
+    await saved.save()
+    # The crashes are too old to be evidence.
+    clock.advance(2 * 3_600_000)
+    other, restored = start_router("r2", store, clock)
+    assert await restored.restore()
+    assert other.withholds("book", fingerprint="deadly")
+    assert not other.withholds("book", fingerprint="sound")
+    requests = standin.request_count
+    await restored.save()
+    await restored.save()
+    assert standin.request_count - requests <= 1
+
+
+@pytest.mark.parametrize("value", [b"x", b"[1]", b"[[1,2]]", b"[[null,1,1]]"])
+async def test_invalid_blocks_in_the_store_are_skipped(
+    store, standin, clock, value
+):
+    await standin.put(TOPIC, "blocked-3", value)
+    other, restored = start_router("r2", store, clock)
+    assert await restored.restore()
+    assert not other.quarantine.blocks()
