--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -171,7 +171,7 @@
 
     def url(self, path, router=None):
         settings = (router or self.routers[0]).settings
-        return f"http://{ports.HOST}:{settings.caller_port}{path}"
+        return f"http://{settings.host}:{settings.caller_port}{path}"
 
 
 @contextlib.asynccontextmanager
