Known red: brittle targets are sent more than they can reject

Targets that name how many rejections in a second they bear fall over when routers find out by asking that they are full.

--- /dev/null
+++ b/tests/test_brittle_targets.py
@@ -0,0 +1,133 @@
+"""Targets that fall over if they have to reject many requests."""
+
+import asyncio
+import collections
+
+import aiohttp
+import pytest
+
+from examples.standins import scripted_target
+from tests import gateway_fixtures
+
+SLOTS = 8
+RUN_MS = 300
+# Rejections in a second that a target bears.
+MAX_REJECTED = 3
+TARGETS = 3
+ROUTERS = 3
+REQUESTS_PER_S = 200
+SECONDS = 5
+# Time in which routers have to learn of it; shorter than the users' 3,000 ms.
+REACTION_S = 1.5
+# The users allow 2 and a tenth of the targets.
+FALLS_ALLOWED = 2
+
+
+class BrittleTarget:
+    """Script of a target with few slots and no queue.
+
+    :ivar rejected_s: when it rejected requests, by the event loop's clock.
+    :ivar done: number of requests that it completed.
+    """
+
+    def __init__(self):
+        self.rejected_s = []
+        self.done = 0
+        self._running = 0
+
+    async def __call__(self, request, writer):
+        loop = asyncio.get_running_loop()
+        brittle = {"Server_Brittle": str(MAX_REJECTED)}
+        if self._running >= SLOTS:
+            self.rejected_s.append(loop.time())
+            writer.write(
+                scripted_target.response(
+                    request, "503 Full", X_Not_Executed="1", **brittle
+                )
+            )
+            return
+        self._running += 1
+        try:
+            await asyncio.sleep(RUN_MS / 1000)
+        finally:
+            self._running -= 1
+        self.done += 1
+        if "/plan/" not in request.line:
+            writer.write(scripted_target.response(request, **brittle))
+            return
+        head = scripted_target.stream_head(request)
+        field = f"\r\nServer-Brittle: {MAX_REJECTED}\r\n\r\n".encode()
+        writer.write(head.replace(b"\r\n\r\n", field))
+        for number in range(3):
+            event = scripted_target.event(number)
+            writer.write(scripted_target.chunk(event))
+        writer.write(scripted_target.chunk(b""))
+        return
+
+    def falls(self, from_s):
+        """Return in how many seconds it rejected more than it bears."""
+        seconds = collections.Counter(
+            int(t - from_s) for t in self.rejected_s if t >= from_s
+        )
+        return sum(count > MAX_REJECTED for count in seconds.values())
+
+
+@pytest.fixture
+async def deployment():
+    """Start brittle targets and three routers in front of them."""
+    async with gateway_fixtures.running_deployment("t0") as deployment:
+        deployment.targets[0].script = BrittleTarget()
+        for number in range(1, TARGETS):
+            await deployment.add_target(f"t{number}", BrittleTarget())
+        for number in range(2, ROUTERS + 1):
+            await deployment.add_router(router=f"r{number}")
+        for router in deployment.routers:
+            await deployment.wait_ready(router)
+        await asyncio.sleep(0.5)
+        yield deployment
+
+
+async def send(deployment, caller, number, path):
+    routers = deployment.routers
+    async with caller.post(
+        deployment.url(path, routers[number % len(routers)]),
+        headers={
+            "Host": "example.test",
+            "X-Request-Id": f"q{number}",
+            "X-Deadline-Ms": "3000",
+            "X-Prompt-Prefix": f"a{number % 4}:900,b{number}:10",
+            "Authorization": "Bearer key-1",
+        },
+        data=b"body %d" % number,
+    ) as response:
+        await response.read()
+        return response
+
+
+@pytest.mark.parametrize("path", ["/plan/1", "/lookup/1"])
+async def test_brittle_targets_are_not_sent_more_than_they_can_reject(
+    deployment, path
+):
+    loop = asyncio.get_running_loop()
+    start_s = loop.time()
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as caller:
+        tasks = []
+        for number in range(REQUESTS_PER_S * SECONDS):
+            tasks.append(
+                asyncio.create_task(send(deployment, caller, number, path))
+            )
+            await asyncio.sleep(
+                max(0, start_s + number / REQUESTS_PER_S - loop.time())
+            )
+        responses = await asyncio.gather(*tasks)
+    scripts = [target.script for target in deployment.targets]
+    falls = sum(script.falls(start_s + REACTION_S) for script in scripts)
+    assert falls <= FALLS_ALLOWED
+    # Half of what the targets can do at most is left unused.
+    done = sum(script.done for script in scripts)
+    assert done >= TARGETS * SLOTS * SECONDS / (RUN_MS / 1000) / 2
+    assert {r.status for r in responses} <= {200, 503}
+    assert all(
+        "Retry-After" in r.headers for r in responses if r.status == 503
+    )
