Send brittle targets no more than they can reject

What callers would see: targets that name how many rejections in a second they bear (Server-Brittle) fall over under load, with all that they run. Cause: nothing read the statement; a full target was found out by asking it, and each rejected request asked the next one.

Why this works: half of a brittle target's slots are filled as always; beyond that each router fills its own part of the slots, by rendezvous hashing over the live routers, so old reports of load can't mislead several at once. What a target may reject goes elsewhere first, and else takes a permit of the target's grantor at half of N, the mechanism of limits.

--- a/src/bulrushdale/forwarding/permits.py
+++ b/src/bulrushdale/forwarding/permits.py
@@ -114,6 +114,21 @@
             target.refuse_permits(rank, wait_ms)
         return wait_ms
 
+    async def acquire_risk(self, target: targets_module.Target) -> int:
+        """Get a permit to send a request that a brittle target may reject.
+
+        :param target: the target.
+        :return: 0 for a permit; otherwise the time until the next one, in ms.
+        """
+        report = target.rejections_report()
+        if report is None:
+            return 0
+        # Any one of these requests may be the one too many.
+        wait_ms = await self._acquire(PermitRequest(report, 0, True))
+        if wait_ms:
+            target.refuse_risk(wait_ms)
+        return wait_ms
+
     async def _acquire(self, request: PermitRequest) -> int:
         """Get a permit from this router or another one."""
         grantor = self._peers.grantor(request.limit.target_id)
@@ -134,6 +149,8 @@
             return 0
         key = (limit.target_id, limit.started_ms)
         rate_per_s = limit.limit_per_s * share
+        if rate_limits.rejections_target(limit.target_id) is not None:
+            rate_per_s *= rate_limits.RISKED_SHARE
         return self._limiter.take(key, rate_per_s, request.rank)
 
     async def _ask(
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -63,6 +63,7 @@
         "_service",
         "_tried",
         "_relaying",
+        "_at_risk",
         "_relayed_to",
         "_attempts",
         "_may_have_run_at",
@@ -103,6 +104,8 @@
         # Whether the next attempt goes through another router, and the ids of
         # the targets that such attempts went to.
         self._relaying = False
+        # Whether a brittle target may reject the next attempt.
+        self._at_risk = False
         self._relayed_to: set[str] = set()
         self._attempts = 0
         self._may_have_run_at: list[targets_module.Target] = []
@@ -208,6 +211,12 @@
                 self._context.metrics.permits.record(
                     1, {"outcome": "refused" if wait_ms else "granted"}
                 )
+            self._at_risk = self._context.selection.may_reject(target)
+            if not wait_ms and self._at_risk:
+                wait_ms = await self._context.permits.acquire_risk(target)
+                self._context.metrics.permits.record(
+                    1, {"outcome": "risk refused" if wait_ms else "at risk"}
+                )
             if not wait_ms:
                 self._record_choice(choice)
                 return choice
@@ -215,6 +224,7 @@
                 "request.no_permit",
                 target=target.target_id,
                 limit_per_s=target.limit_per_s,
+                max_rejections_per_s=target.max_rejections_per_s,
                 rank=self._rank,
                 wait_ms=wait_ms,
             )
@@ -556,6 +566,14 @@
             # The target may have named a limit to a later request whose
             # response overtook this one.
             target.set_limit(None, self._sent_ms)
+        if head.max_rejections_per_s is not None:
+            target.set_max_rejections(
+                head.max_rejections_per_s, self._context.clock.now_ms()
+            )
+        elif head.states_max_rejections:
+            target.set_max_rejections(None, self._sent_ms)
+        if head.not_run and not head.other_target and not self._at_risk:
+            target.record_full()
         if head.retry_after_ms is not None:
             target.back_off(head.retry_after_ms)
             if self._relaying:
--- a/src/bulrushdale/platform/headers.py
+++ b/src/bulrushdale/platform/headers.py
@@ -37,6 +37,9 @@
 _RETRY_AFTER = "Retry-After"
 # Requests per second that a target takes from all routers together.
 _RATE_LIMIT = "Server-Limit"
+# Requests that a brittle target may reject in a second for want of room. If it
+# has to reject more it falls over.
+_MAX_REJECTIONS = "Server-Brittle"
 
 _STATUS_MISDIRECTED = 421
 _STATUS_OVERLOADED = 503
@@ -219,9 +222,10 @@
     encoding = headers.get("Content-Encoding", "identity").lower()
     sealed = _SIGNATURE in headers
     misdirected = status == _STATUS_MISDIRECTED
-    limit_per_s = (
-        None if misdirected else _parse_rate_limit(headers.get(_RATE_LIMIT))
-    )
+    limit_per_s = max_rejections_per_s = None
+    if not misdirected:
+        limit_per_s = _parse_rate(headers, _RATE_LIMIT)
+        max_rejections_per_s = _parse_rate(headers, _MAX_REJECTIONS)
     return messages.ResponseHead(
         status=status,
         headers=_filter_headers(headers, frozenset({"date", "server"})),
@@ -240,27 +244,40 @@
         and (
             limit_per_s is not None or (sealed and _RATE_LIMIT not in headers)
         ),
+        max_rejections_per_s=max_rejections_per_s,
+        states_max_rejections=not misdirected
+        and (
+            max_rejections_per_s is not None
+            or (sealed and _MAX_REJECTIONS not in headers)
+        ),
     )
 
 
-def _parse_rate_limit(value: str | None) -> float | None:
-    """Return the limit that a target names, in requests per second.
+def _parse_rate(
+    headers: multidict.CIMultiDictProxy[str], name: str
+) -> float | None:
+    """Return a number of requests per second that a target names.
 
-    :return: the limit; none without a valid one.
+    :return: the number; none without a valid one.
     """
+    value = headers.get(name)
     if value is None:
         return None
     try:
-        limit_per_s = float(value)
+        rate_per_s = float(value)
     except ValueError:
-        limit_per_s = math.nan
-    if not math.isfinite(limit_per_s) or limit_per_s < 0:
+        rate_per_s = math.nan
+    if not math.isfinite(rate_per_s) or rate_per_s < 0:
         LOG.warning(
-            "invalid rate limit of a target ignored",
-            extra={"event": "target.bad_limit", "value": value[:80]},
+            "invalid rate of a target ignored",
+            extra={
+                "event": "target.bad_limit",
+                "header": name,
+                "value": value[:80],
+            },
         )
         return None
-    return limit_per_s
+    return rate_per_s
 
 
 def _parse_retry_after(status: int, value: str | None) -> int | None:
--- a/src/bulrushdale/routing/messages.py
+++ b/src/bulrushdale/routing/messages.py
@@ -110,6 +110,9 @@
         routers together; none if it names no limit.
     :param states_limit: whether `limit_per_s` is the target's statement. An
         invalid limit and a response that isn't the target's state nothing.
+    :param max_rejections_per_s: requests that the target may reject in a
+        second without falling over; none if it isn't brittle.
+    :param states_max_rejections: whether that is the target's statement.
     """
 
     status: int
@@ -123,6 +126,8 @@
     retry_after_ms: int | None = None
     limit_per_s: float | None = None
     states_limit: bool = False
+    max_rejections_per_s: float | None = None
+    states_max_rejections: bool = False
 
     @property
     def wrongly_implies_not_run(self) -> bool:
--- a/src/bulrushdale/routing/peers.py
+++ b/src/bulrushdale/routing/peers.py
@@ -63,6 +63,9 @@
 # The fleet was as large as this long ago. Routers that can't reach the others
 # grant only their part of a rate.
 FLEET_SIZE_MEMORY_MS = 30_000
+# Share of a target's slots that the routers of a large fleet fill unasked.
+# Each decides by a hash whether it has one, so their sum varies.
+SHARED_SLOTS = 0.75
 # Rendezvous key by which the fleet selects the collector that reads the
 # store.
 STORE_READER_KEY = 0
@@ -349,6 +352,26 @@
             [a for a in collectors if a and self._grants_permits(a)],
         )
 
+    def slot_share(self, target_id: str, slots: int) -> int:
+        """Return how many of a target's slots this router may fill unasked.
+
+        The shares of all routers add up to no more than the slots. Where
+        there are fewer slots than routers, some have one and others none,
+        others at each target.
+
+        :param target_id: id of the target.
+        :param slots: number of its slots.
+        """
+        key = hashing.name_hash(target_id)
+        if not self.full_mesh:
+            # Only collectors know which routers are live.
+            share, chance = divmod(SHARED_SLOTS * slots / self.count(), 1)
+            own = hashing.fraction(f"{self._own_address} {target_id}")
+            return int(share) + (own < chance)
+        routers = hashing.rendezvous(key, [self._own_address, *self.live()])
+        share, left = divmod(slots, len(routers))
+        return share + (routers.index(self._own_address) < left)
+
     def _grantor_among(self, target_id: str, candidates: list[str]) -> Grantor:
         """Return the grantor among this router and some others."""
         found = hashing.winner(
--- a/src/bulrushdale/routing/rate_limits.py
+++ b/src/bulrushdale/routing/rate_limits.py
@@ -5,6 +5,9 @@
 a large fleet, so one router, the target's *grantor*, hands out permits for
 single requests, and the routers with requests use the whole limit.
 
+A brittle target falls over if it has to reject many requests in a second, a
+sum over all routers too. Requests that it may reject need a permit as well.
+
 Permits come from a token bucket. Less urgent requests leave part of it to
 more urgent ones.
 """
@@ -24,6 +27,12 @@
 MAX_RANK = 4
 # Each second token is for any rank, so that none waits for ever.
 OPEN_INTERVAL = 2
+# Share of the rejections that a brittle target bears which routers risk. Some
+# requests that need no permit are rejected as well.
+RISKED_SHARE = 0.5
+# Ids of the limits on rejections begin so; those of other limits are the ids
+# of targets.
+_REJECTIONS_PREFIX = "rejections:"
 # A bucket that was not used for this long is full again at any limit, and is
 # forgotten.
 BUCKET_TTL_MS = 30_000
@@ -33,7 +42,7 @@
 class LimitReport:
     """A target's statement about its limit, as routers report it.
 
-    :param target_id: id of the target.
+    :param target_id: id of the target, or that of its limit on rejections.
     :param started_ms: when the target started, in ms since the epoch.
     :param limit_per_s: requests per second; none for no limit any more.
     :param age_ms: time since the statement, in ms.
@@ -45,6 +54,18 @@
     age_ms: int
 
 
+def rejections_id(target_id: str) -> str:
+    """Return the id of a target's limit on rejections."""
+    return _REJECTIONS_PREFIX + target_id
+
+
+def rejections_target(limit_id: str) -> str | None:
+    """Return the target of a limit on rejections; none for other limits."""
+    if not limit_id.startswith(_REJECTIONS_PREFIX):
+        return None
+    return limit_id.removeprefix(_REJECTIONS_PREFIX)
+
+
 class TokenBucket:
     """The permits for one target that were not used yet.
 
--- a/src/bulrushdale/routing/selection.py
+++ b/src/bulrushdale/routing/selection.py
@@ -23,6 +23,10 @@
 # recompute shorter prefixes sooner.
 MIN_COPIED_TOKENS = 256
 
+# Below this share of its slots a brittle target has room for all routers' next
+# requests.
+CALM_SHARE = 0.5
+
 # Chooses among candidates for a request without prefix affinity. The other
 # arguments are the expected number of requests that other routers placed and
 # haven't reported yet, and the request's id.
@@ -157,6 +161,7 @@
                 target_id not in tried
                 and not target.backing_off
                 and not target.permit_wait_ms(rank)
+                and not (target.risk_wait_ms and self.may_reject(target))
                 and version in (None, target.listing.version)
             )
 
@@ -169,7 +174,11 @@
                 return False
             target = self._targets.require(target_id)
             self._eject_if_outlier(target, service)
-            return not (target.health.ejected or target.health.suspected)
+            return not (
+                target.health.ejected
+                or target.health.suspected
+                or self.may_reject(target)
+            )
 
         return [
             healthy,
@@ -177,6 +186,23 @@
             *([available] if include_unreachable else []),
         ]
 
+    def may_reject(self, target: targets_module.Target) -> bool:
+        """Return whether a brittle target may reject one more request.
+
+        It has room while few of its slots are taken. Beyond that, the loads
+        that other routers report are too old to tell, so each router fills
+        its own part of the slots.
+        """
+        if not target.brittle:
+            return False
+        if target.full:
+            return True
+        slots = target.listing.slots
+        if self.load(target) < CALM_SHARE * slots:
+            return False
+        own_slots = self._peers.slot_share(target.target_id, slots)
+        return target.in_flight >= own_slots
+
     def has_untried(
         self,
         service: str,
@@ -200,6 +226,7 @@
             and (include_unreachable or not t.health.unreachable)
             and not t.backing_off
             and t.limit_per_s is None
+            and not self.may_reject(t)
             and version in (None, t.listing.version)
             for t in self._targets.active(service)
         )
@@ -235,7 +262,7 @@
         waits_ms = [
             wait_ms
             for t in self._targets.active(service)
-            if (wait_ms := t.permit_wait_ms(rank))
+            if (wait_ms := max(t.permit_wait_ms(rank), t.risk_wait_ms))
         ]
         return min(waits_ms, default=0)
 
--- a/src/bulrushdale/routing/targets.py
+++ b/src/bulrushdale/routing/targets.py
@@ -27,6 +27,10 @@
 # arrive late, after the entry of the next start. Minutes are far more than
 # any grace period.
 LEAVING_MEMORY_MS = 600_000
+# A brittle target that rejected a request has no room for this time.
+FULL_MS = 300
+# A statement that a target is brittle holds for this long.
+BRITTLE_TTL_MS = 15_000
 # Limits per report, those reported longest ago; about 20 bytes each.
 MAX_REPORTED_LIMITS = 16
 # The end of a limit is reported for this time.
@@ -83,6 +87,8 @@
         the clock.
     :ivar limit_per_s: requests per second that it takes from all routers
         together; none without a limit.
+    :ivar max_rejections_per_s: requests that it may reject in a second
+        without falling over; none if it isn't brittle.
     :ivar limit_as_of_ms: time as of which the limit is known, in ms of the
         clock; none if the target has stated nothing yet.
     """
@@ -99,6 +105,11 @@
         "backoff_until_ms",
         "limit_per_s",
         "limit_as_of_ms",
+        "max_rejections_per_s",
+        "_brittle_as_of_ms",
+        "_brittle_reported_ms",
+        "_full_until_ms",
+        "_risk_refused_until_ms",
         "_limit_changed_ms",
         "_limit_reported_ms",
         "_permits_refused_until_ms",
@@ -119,6 +130,11 @@
         self.backoff_until_ms = 0
         self.limit_per_s: float | None = None
         self.limit_as_of_ms: int | None = None
+        self.max_rejections_per_s: float | None = None
+        self._brittle_as_of_ms: int | None = None
+        self._brittle_reported_ms = 0
+        self._full_until_ms = 0
+        self._risk_refused_until_ms = 0
         self._limit_changed_ms = 0
         self._limit_reported_ms = 0
         # By the rank of the request.
@@ -236,6 +252,83 @@
         ]
         return max(0, until_ms - self._clock.now_ms())
 
+    def set_max_rejections(
+        self, max_rejections_per_s: float | None, as_of_ms: int
+    ) -> None:
+        """Record whether it is brittle, unless that is outdated.
+
+        :param max_rejections_per_s: requests that it may reject in a second;
+            none if it isn't brittle.
+        :param as_of_ms: time as of which this is known, in ms of the clock.
+        """
+        known_ms = self._brittle_as_of_ms
+        if known_ms is not None and as_of_ms < known_ms:
+            return
+        previous = self.max_rejections_per_s
+        self.max_rejections_per_s = max_rejections_per_s
+        self._brittle_as_of_ms = as_of_ms
+        if max_rejections_per_s != previous:
+            LOG.info(
+                "target.brittle",
+                extra={
+                    "event": "target.brittle",
+                    "target": self.target_id,
+                    "service": self.listing.service,
+                    "max_rejections_per_s": max_rejections_per_s,
+                    "previous_per_s": previous,
+                    "age_ms": self._clock.now_ms() - as_of_ms,
+                },
+            )
+
+    @property
+    def brittle(self) -> bool:
+        """Whether it falls over if it has to reject many requests."""
+        if self.max_rejections_per_s is None:
+            return False
+        age_ms = self._clock.now_ms() - (self._brittle_as_of_ms or 0)
+        return age_ms < BRITTLE_TTL_MS
+
+    @property
+    def full(self) -> bool:
+        """Whether it is brittle and rejected a request a moment ago."""
+        return self.brittle and self._clock.now_ms() < self._full_until_ms
+
+    def record_full(self) -> None:
+        """Record that it rejected a request for want of room."""
+        self._full_until_ms = self._clock.now_ms() + FULL_MS
+
+    def refuse_risk(self, wait_ms: int) -> None:
+        """Record that its grantor has no permits for requests at risk."""
+        self._risk_refused_until_ms = self._clock.now_ms() + wait_ms
+
+    @property
+    def risk_wait_ms(self) -> int:
+        """Time until a request that it may reject may be sent, in ms."""
+        if not self.brittle:
+            return 0
+        return max(0, self._risk_refused_until_ms - self._clock.now_ms())
+
+    def rejections_report(self) -> rate_limits.LimitReport | None:
+        """Return the limit on its rejections; none if it isn't brittle."""
+        if not self.brittle or self._brittle_as_of_ms is None:
+            return None
+        return rate_limits.LimitReport(
+            rate_limits.rejections_id(self.target_id),
+            self.listing.started_ms,
+            self.max_rejections_per_s,
+            self._clock.now_ms() - self._brittle_as_of_ms,
+        )
+
+    def take_rejections_report(self) -> rate_limits.LimitReport | None:
+        """Return what to report of its brittleness now."""
+        self._brittle_reported_ms = self._clock.now_ms()
+        return self.rejections_report()
+
+    @property
+    def brittle_reported_ms(self) -> int:
+        """When its brittleness was last reported, in ms of the clock."""
+        return self._brittle_reported_ms
+
     def take_limit_report(self) -> rate_limits.LimitReport | None:
         """Return what to report about its limit now; none for nothing."""
         now_ms = self._clock.now_ms()
@@ -404,9 +497,15 @@
         :return: the newest knowledge; the report itself if the target isn't
             listed here.
         """
-        target = self._targets.get(report.target_id)
+        brittle_id = rate_limits.rejections_target(report.target_id)
+        target = self._targets.get(brittle_id or report.target_id)
         if target is None or target.listing.started_ms != report.started_ms:
             return report
+        if brittle_id is not None:
+            target.set_max_rejections(
+                report.limit_per_s, self._clock.now_ms() - report.age_ms
+            )
+            return target.rejections_report() or report
         target.set_limit(
             report.limit_per_s, self._clock.now_ms() - report.age_ms
         )
@@ -418,10 +517,18 @@
             (target for target in self.all() if target.reports_limit),
             key=lambda target: target.limit_reported_ms,
         )
-        reports = (
+        brittle = sorted(
+            (target for target in self.all() if target.brittle),
+            key=lambda target: target.brittle_reported_ms,
+        )
+        reports = [
             target.take_limit_report()
             for target in limited[:MAX_REPORTED_LIMITS]
-        )
+        ]
+        reports += [
+            target.take_rejections_report()
+            for target in brittle[: MAX_REPORTED_LIMITS - len(reports)]
+        ]
         return tuple(report for report in reports if report is not None)
 
     def _drop(self, target: Target, reason: str) -> None:
--- a/tests/test_brittle_targets.py
+++ b/tests/test_brittle_targets.py
@@ -4,8 +4,13 @@
 import collections
 
 import aiohttp
+import multidict
 import pytest
 
+from bulrushdale.platform import headers as platform_headers
+from bulrushdale.routing import peers as peers_module
+from bulrushdale.routing import reports
+from bulrushdale.routing import targets as targets_module
 from examples.standins import scripted_target
 from tests import gateway_fixtures
 
@@ -131,3 +136,103 @@
     assert all(
         "Retry-After" in r.headers for r in responses if r.status == 503
     )
+
+
+def make_fleet(clock, count):
+    """Return routers that all have heard of each other."""
+    addresses = [f"10.0.{n // 250}.{n % 250}:1" for n in range(count)]
+    fleet = []
+    for address in addresses:
+        peers = peers_module.Peers(address, "dc1", 100, clock)
+        for other in addresses:
+            peers.receive(
+                reports.Report(other, "dc1", 1, 1, 1, False, 0, {}, {}, {})
+            )
+        fleet.append(peers)
+    return fleet
+
+
+@pytest.mark.parametrize("routers", [1, 2, 7, 11])
+@pytest.mark.parametrize("slots", [1, 6, 64])
+def test_shares_of_all_routers_are_the_slots(clock, routers, slots):
+    fleet = make_fleet(clock, routers)
+    for number in range(20):
+        shares = [peers.slot_share(f"t{number}", slots) for peers in fleet]
+        assert sum(shares) == slots
+
+
+@pytest.mark.parametrize("slots", [6, 64])
+def test_shares_in_a_large_fleet_seldom_exceed_the_slots(clock, slots):
+    fleet = make_fleet(clock, 360)
+    sums = [
+        sum(peers.slot_share(f"t{number}", slots) for peers in fleet)
+        for number in range(50)
+    ]
+    assert sum(total > slots for total in sums) <= 0.2 * len(sums)
+    assert 0.6 * slots <= sum(sums) / len(sums) <= 0.9 * slots
+
+
+@pytest.fixture
+def target(clock):
+    return targets_module.Target(
+        targets_module.Listing(
+            "t1", 1, "oven", "10.0.0.1:1", "dc1", 8, False, 0
+        ),
+        clock,
+    )
+
+
+def test_newer_statement_of_a_target_counts(target, clock):
+    clock.advance(1_000)
+    target.set_max_rejections(3, clock.now_ms())
+    target.set_max_rejections(None, clock.now_ms() - 500)
+    assert target.brittle
+    clock.advance(500)
+    target.set_max_rejections(None, clock.now_ms())
+    assert not target.brittle
+
+
+def test_target_that_says_nothing_any_more_is_not_brittle(target, clock):
+    target.set_max_rejections(3, clock.now_ms())
+    clock.advance(targets_module.BRITTLE_TTL_MS)
+    assert not target.brittle
+    assert target.rejections_report() is None
+
+
+def test_other_routers_learn_that_a_target_is_brittle(clock):
+    here, there = (targets_module.Targets(clock) for _ in range(2))
+    for targets in (here, there):
+        targets.put(
+            targets_module.Listing(
+                "t1", 1, "oven", "10.0.0.1:1", "dc1", 8, False, 0
+            )
+        )
+    here.require("t1").set_max_rejections(3, clock.now_ms())
+    (report,) = here.take_limits_to_report()
+    there.merge_limit(report)
+    assert there.require("t1").max_rejections_per_s == 3
+    assert there.require("t1").limit_per_s is None
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        ("3", 3.0),
+        ("0", 0.0),
+        ("2.5", 2.5),
+        ("-1", None),
+        ("nan", None),
+        ("1e999", None),
+        ("many", None),
+        ("", None),
+    ],
+)
+def test_statement_without_sense_states_nothing(value, expected):
+    fields = multidict.CIMultiDict(
+        {"X-Server-Seal": "s", "Server-Brittle": value}
+    )
+    head = platform_headers.decode_response_head(
+        200, multidict.CIMultiDictProxy(fields)
+    )
+    assert head.max_rejections_per_s == expected
+    assert head.states_max_rejections == (expected is not None)
