Skip entries of targets with values out of range

Here an entry with a port of 99999 was followed: a check of that target raises OverflowError, which ends a relayed or retried request and the check; one with born 1e999 ends the task that follows the list; one with born 1e300 can't be encoded, so a router that reports that target as leaving reports nothing any more.

Cause: fields were checked for their type, not for their range. Now each is decoded to a bounded value or the entry is skipped with a log line: IP address, port 1 to 65535, start within 10^14, slots from 1, lengths of names.

--- a/src/bulrushdale/platform/listings.py
+++ b/src/bulrushdale/platform/listings.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import ipaddress
 import logging
 import typing
 
@@ -15,6 +16,15 @@
 _STATES = ("ready", _STATE_LEAVING)
 # Routers name versions to each other.
 MAX_VERSION_CHARS = 64
+MAX_NAME_CHARS = 256
+MAX_PORT = 65_535
+# Unix time in ms; the year 5138. Routers name starts to each other as 64-bit
+# integers.
+MAX_STARTED_MS = 10**14
+MAX_SLOTS = 100_000
+MAX_SLOW_START_MS = 24 * 3_600_000
+# Characters of a value in a log line, to bound its length.
+_MAX_LOGGED_CHARS = 80
 
 
 class ListingError(Exception):
@@ -26,27 +36,55 @@
 
 def _decode_text(data: dict[str, typing.Any], name: str) -> str:
     value = data.get(name)
-    if not isinstance(value, str) or not value:
-        raise ListingError(f"{name} is invalid: {value!r}")
+    if not isinstance(value, str) or not 0 < len(value) <= MAX_NAME_CHARS:
+        raise _invalid(name, value)
     return value
 
 
+def _invalid(name: str, value: object) -> ListingError:
+    return ListingError(
+        f"{name} is invalid: {repr(value)[:_MAX_LOGGED_CHARS]}"
+    )
+
+
 def _decode_integer(
-    data: dict[str, typing.Any], name: str, default: int | None = None
+    data: dict[str, typing.Any],
+    name: str,
+    minimum: int,
+    maximum: int,
+    default: int | None = None,
 ) -> int:
+    """Return a field that holds a whole number within bounds."""
     value = data.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise ListingError(f"{name} is invalid: {value!r}")
+        raise _invalid(name, value)
+    if not minimum <= value <= maximum:
+        raise _invalid(name, value)
     return int(value)
 
 
+def _decode_address(data: dict[str, typing.Any]) -> str:
+    """Return the IP address and port of a target."""
+    address = _decode_text(data, "address")
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise _invalid("address", address) from None
+    if not (port.isascii() and port.isdigit()):
+        raise _invalid("address", address)
+    if not 1 <= int(port) <= MAX_PORT:
+        raise _invalid("address", address)
+    return address
+
+
 def _decode_version(value: typing.Any) -> str:
     """Return the version of the software; empty if there is none."""
     if value is None:
         return ""
     if isinstance(value, str) and len(value) <= MAX_VERSION_CHARS:
         return value
-    raise ListingError(f"version is invalid: {str(value)[:80]!r}")
+    raise _invalid("version", value)
 
 
 def decode(target_id: str, value: bytes) -> targets.Listing:
@@ -56,6 +94,8 @@
     :param value: the entry's value.
     :raises ListingError: if it doesn't describe a target.
     """
+    if len(target_id) > MAX_NAME_CHARS:
+        raise _invalid("id", target_id)
     try:
         data = orjson.loads(value)
     except ValueError as error:
@@ -64,21 +104,19 @@
         raise ListingError("not a JSON object")
     state = data.get("state")
     if state not in _STATES:
-        raise ListingError(f"unknown state {state!r}")
-    address = _decode_text(data, "address")
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise ListingError(f"address is not HOST:PORT: {address!r}")
+        raise _invalid("state", state)
     return targets.Listing(
         target_id=target_id,
-        started_ms=_decode_integer(data, "born", 0),
+        started_ms=_decode_integer(data, "born", 0, MAX_STARTED_MS, 0),
         service=_decode_text(data, "service"),
-        address=address,
+        address=_decode_address(data),
         data_centre=_decode_text(data, "zone"),
-        slots=_decode_integer(data, "slots"),
+        slots=_decode_integer(data, "slots", 1, MAX_SLOTS),
         leaving=state == _STATE_LEAVING,
         # Remaining time as of when the target wrote the entry, not as of now.
-        slow_start_ms=_decode_integer(data, "cold_remaining_ms", 0),
+        slow_start_ms=_decode_integer(
+            data, "cold_remaining_ms", 0, MAX_SLOW_START_MS, 0
+        ),
         version=_decode_version(data.get("version")),
     )
 
