Answer requests whose body is still arriving when a stop closes the port

What callers saw: in a planned stop a request whose body arrived slowly got no answer, and its connection was cut at the end of the grace. Cause: to let busy connections end with their response, the drain closes them, and aiohttp reads nothing more from a closed connection, not even the rest of a body; a body that arrived in time to be read whole was also passed on after the router had stopped taking requests.

Now connections whose body is still arriving aren't closed; they end with their response as the router drains, and the request is refused at once as not run when its body is complete.

--- a/src/bulrushdale/forwarding/callers.py
+++ b/src/bulrushdale/forwarding/callers.py
@@ -24,16 +24,25 @@
     """The router's requests in flight and whether it is loaded or draining.
 
     :ivar busy: connections with a request in flight.
+    :ivar reading: those of them whose request body is still arriving.
     :ivar tunnels: number of other routers' connections to targets.
     :ivar draining: whether the router is draining.
     :ivar closed: whether the router is draining and refuses new requests.
     :ivar loaded: set once the configuration and the targets are loaded.
     """
 
-    __slots__ = ("busy", "tunnels", "draining", "closed", "loaded")
+    __slots__ = (
+        "busy",
+        "reading",
+        "tunnels",
+        "draining",
+        "closed",
+        "loaded",
+    )
 
     def __init__(self) -> None:
         self.busy: set[web.RequestHandler] = set()
+        self.reading: set[web.RequestHandler] = set()
         self.tunnels = 0
         self.draining = False
         self.closed = False
@@ -45,8 +54,14 @@
         return len(self.busy) + self.tunnels
 
     def close_idle(self, server: web.Server) -> None:
-        """Close idle connections now, busy ones after their request."""
+        """Close idle connections now, busy ones after their request.
+
+        aiohttp reads nothing more from a connection that is to be closed, not
+        even the rest of a body. Those connections end with their response.
+        """
         for connection in server.connections:
+            if connection in self.reading:
+                continue
             if connection in self.busy:
                 connection.close()
             else:
@@ -108,14 +123,11 @@
         received_ms = self._context.clock.now_ms()
         request_id = self._context.codec.decode_request_id(request)
         try:
-            if self._state.closed:
-                raise refusals.refuse(
-                    results.Code.STOPPING,
-                    "this router is stopping",
-                    refusals.OTHER_ROUTER_RETRY_AFTER_MS,
-                )
+            self._refuse_if_closed()
             await self._wait_until_loaded()
-            body = await _read_body(request, self._body_limit_bytes())
+            body = await self._read_body(request)
+            # The body may have taken until now.
+            self._refuse_if_closed()
             try:
                 inbound = self._context.codec.decode_request(request, body)
             except self._header_error as error:
@@ -151,6 +163,23 @@
             )
             return _refusal_response(refusal, request_id)
 
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        """Return the body of a request, which may take long to arrive."""
+        connection = request.protocol
+        self._state.reading.add(connection)
+        try:
+            return await _read_body(request, self._body_limit_bytes())
+        finally:
+            self._state.reading.discard(connection)
+
+    def _refuse_if_closed(self) -> None:
+        """Refuse a request that comes too late in a stop.
+
+        :raises RefusedError: if this router takes no more requests.
+        """
+        if self._state.closed:
+            raise refusals.stopping()
+
     async def _wait_until_loaded(self) -> None:
         """Wait briefly until the configuration and the targets are loaded."""
         if self._state.loaded.is_set():
--- a/src/bulrushdale/routing/refusals.py
+++ b/src/bulrushdale/routing/refusals.py
@@ -30,3 +30,12 @@
         return results.refuse(code, detail)
     jitter_ms = random.randrange(RETRY_JITTER_MS)
     return results.refuse(code, detail, retry_after_ms + jitter_ms)
+
+
+def stopping() -> results.RefusedError:
+    """Return the error of a request that a stopping router can't serve."""
+    return refuse(
+        results.Code.STOPPING,
+        "this router is stopping",
+        OTHER_ROUTER_RETRY_AFTER_MS,
+    )
