Answer requests that a planned stop would cut off

What callers saw: requests taken in the grace of a planned stop were passed on with all of their own time, and cut with no answer when it was over, among them requests that may not be repeated. Cause: nothing compared the time that a request may take with what is left of the stop.

Now a request that is sent while the router drains hands its target no more time than is left, and what has not ended 100 ms before the router stops gets an answer: 504, or 503 (not run) if it went to no target; a stream that has begun still breaks off. Refusing all requests whose deadline lies behind the stop was ruled out: streams may take 15 s and end in two.

--- a/src/bulrushdale/forwarding/context.py
+++ b/src/bulrushdale/forwarding/context.py
@@ -13,6 +13,7 @@
 from bulrushdale.forwarding import metrics as metrics_module
 from bulrushdale.forwarding import permits as permits_module
 from bulrushdale.forwarding import probes
+from bulrushdale.forwarding import stop_limit as stop_limit_module
 from bulrushdale.forwarding import tunnels as tunnels_module
 from bulrushdale.routing import budget as budget_module
 from bulrushdale.routing import messages
@@ -64,6 +65,7 @@
     :ivar key_age_limit_ms: maximum age of the configuration for which API
         keys are accepted, in ms; none for no limit.
     :ivar draining: returns whether the router is draining.
+    :ivar stop_limit: ends requests before the router stops.
     :ivar metrics: the metrics of the router.
     :ivar prober: checks whether targets are reachable.
     :ivar crash_detector: finds out which targets crashed.
@@ -90,6 +92,7 @@
         "budget",
         "key_age_limit_ms",
         "draining",
+        "stop_limit",
         "metrics",
         "prober",
         "crash_detector",
@@ -116,6 +119,7 @@
         budget: budget_module.RetryBudget,
         key_age_limit_ms: int | None,
         draining: typing.Callable[[], bool],
+        stop_limit: stop_limit_module.StopLimit,
         metrics: metrics_module.Metrics,
         prober: probes.Prober,
         crash_detector: crashes.CrashDetector,
@@ -139,6 +143,7 @@
         self.budget = budget
         self.key_age_limit_ms = key_age_limit_ms
         self.draining = draining
+        self.stop_limit = stop_limit
         self.metrics = metrics
         self.prober = prober
         self.crash_detector = crash_detector
--- a/src/bulrushdale/forwarding/drain.py
+++ b/src/bulrushdale/forwarding/drain.py
@@ -6,6 +6,7 @@
 
 from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import callers as callers_module
+from bulrushdale.forwarding import stop_limit as stop_limit_module
 
 # How often a draining router checks whether its requests have ended. This
 # delays the stop, so it is short compared to the shortest request.
@@ -13,12 +14,15 @@
 # A request arrives within a round trip after its connection is accepted, or
 # later if a lost packet has to be resent.
 ACCEPTED_GRACE_MS = 250
+# Requests that can't end in time are answered this long before the end.
+ANSWER_MARGIN_MS = 100
 
 
 async def drain(
     state: callers_module.GatewayState,
     server: web.Server,
     close_ports: abc.Callable[[], abc.Awaitable[None]],
+    stop_limit: stop_limit_module.StopLimit,
     clock: clock_module.Clock,
     notice_ms: int,
     timeout_ms: int,
@@ -34,6 +38,7 @@
     :param state: the requests in flight and the drain state.
     :param server: the server that holds the callers' connections.
     :param close_ports: closes the listening ports.
+    :param stop_limit: ends requests that would be cut off.
     :param clock: the clock.
     :param notice_ms: time for callers to notice the drain, in ms.
     :param timeout_ms: time limit for the whole drain, in ms.
@@ -41,6 +46,7 @@
     """
     deadline_ms = clock.now_ms() + timeout_ms
     state.draining = True
+    stop_limit.start(max(0, timeout_ms - ANSWER_MARGIN_MS))
     await clock.sleep_ms(notice_ms)
     await close_ports()
     remaining_ms = deadline_ms - clock.now_ms()
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -12,6 +12,7 @@
 from bulrushdale.forwarding import events
 from bulrushdale.forwarding import prompt_guard
 from bulrushdale.forwarding import request_log as request_log_module
+from bulrushdale.forwarding import stop_limit
 from bulrushdale.forwarding import stream_version
 from bulrushdale import results
 from bulrushdale.routing import access
@@ -146,7 +147,8 @@
         return self._admitted.route
 
     def _remaining_ms(self) -> int:
-        return self._deadline_ms - self._context.clock.now_ms()
+        remaining_ms = self._deadline_ms - self._context.clock.now_ms()
+        return int(min(remaining_ms, self._context.stop_limit.remaining_ms()))
 
     async def run(self) -> web.StreamResponse:
         """Forward the request and return the final response.
@@ -167,6 +169,14 @@
                 self._inbound.request_id,
             )
         self._context.budget.record_request(self._service)
+        try:
+            async with self._context.stop_limit.apply():
+                return await self._forward()
+        except stop_limit.StoppedError:
+            raise self._stopped_error() from None
+
+    async def _forward(self) -> web.StreamResponse:
+        """Send the request to targets until it has a final response."""
         try:
             while True:
                 choice = await self._choose_permitted_target()
@@ -181,9 +191,16 @@
                 if response is not None:
                     return response
         except asyncio.CancelledError:
-            self._request_log.log("request.left")
+            if self._context.stop_limit.remaining_ms() > 0:
+                self._request_log.log("request.left")
             raise
 
+    def _stopped_error(self) -> Exception:
+        """Return the error of a request that would be cut off by a stop."""
+        if self._response is None and not self._may_have_run_at:
+            return refusals.stopping()
+        return self._final_error("this router stops before the response")
+
     @property
     def _rank(self) -> int:
         """Rank among requests that need a permit; 0 for a started stream."""
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -27,6 +27,7 @@
 from bulrushdale.forwarding import replica as replica_module
 from bulrushdale.forwarding import servers
 from bulrushdale.forwarding import settings as settings_module
+from bulrushdale.forwarding import stop_limit
 from bulrushdale.forwarding import tunnel_server
 from bulrushdale.forwarding import tunnels
 from bulrushdale.platform import configuration
@@ -276,6 +277,7 @@
             ),
             key_age_limit_ms=settings.key_age_limit_ms,
             draining=lambda: self._state.draining,
+            stop_limit=stop_limit.StopLimit(),
             metrics=self._metrics,
             prober=self._prober,
             crash_detector=crashes.CrashDetector(
@@ -567,6 +569,7 @@
             self._state,
             self._caller_server,
             self._close_caller_port,
+            self._context.stop_limit,
             self._clock,
             self.settings.drain_notice_ms,
             self.settings.drain_timeout_ms,
