Count a target as crashed through relays only if a relay says so

A router that reaches no target checks one that broke off a response through other routers. If none of them relayed (all stopping, busy or asked a moment ago) that counted as a crash, so sound requests came under suspicion. Now only the answer that the target can't be reached counts. Found by reading; the test failed before and passes.

--- a/src/bulrushdale/forwarding/tunnels.py
+++ b/src/bulrushdale/forwarding/tunnels.py
@@ -36,6 +36,10 @@
 ANSWER_TIMEOUT_MS = connections.CONNECT_TIMEOUT_MS + 100
 
 
+class TargetUnreachableError(ConnectionRefusedError):
+    """Other routers can't reach the target either."""
+
+
 class TunnelClient:
     """Opens tunnels for this router's requests.
 
@@ -72,7 +76,8 @@
         self._port = port
         self._metrics = metrics
         self._send = send
-        # The target of the request that the current task sends.
+        # The target of the request that the current task sends; aiohttp
+        # passes only its address on to the connector.
         self._target: contextvars.ContextVar[targets_module.Target] = (
             contextvars.ContextVar("target")
         )
@@ -111,14 +116,17 @@
                 self._send(address, message)
 
     async def is_unreachable(self, target: targets_module.Target) -> bool:
-        """Return whether no other router reaches a target.
+        """Return whether other routers can't reach a target.
 
         :param target: a target that this router doesn't reach either.
+        :return: false also if no router could be asked.
         """
         try:
             sock = await self.open(target)
-        except OSError:
+        except TargetUnreachableError:
             return True
+        except OSError:
+            return False
         sock.close()
         return False
 
@@ -130,8 +138,11 @@
 
         :param target: the target.
         :return: the connected socket.
-        :raises OSError: if no router that was asked can reach the target.
+        :raises TargetUnreachableError: if a router that was asked can't reach
+            the target, and no other one can.
+        :raises OSError: if no router that was asked relays.
         """
+        unreachable = False
         service = target.listing.service
         for address in self._relays.candidates(service, target.target_id):
             host, _, _ = address.rpartition(":")
@@ -171,6 +182,9 @@
                 )
             if answer in relays_module.FINAL:
                 raise ConnectionRefusedError(f"target is {reason}")
+            unreachable |= answer is relays_module.Answer.UNREACHABLE
+        if unreachable:
+            raise TargetUnreachableError("no router reaches the target")
         raise ConnectionRefusedError("no router relays")
 
 
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -363,6 +363,23 @@
             assert other._targets.require(target_id).backing_off
 
 
+async def test_target_counts_as_crashed_only_if_a_relay_says_so(fleet, caller):
+    deployment, _ = fleet
+    router = await cut_off_router(fleet, caller)
+    await cut_off_router(fleet, caller, "r3")
+    tunnels = router._context.tunnels
+    target = router._targets.require("t0")
+    assert not await tunnels.is_unreachable(target)
+    # The other routers don't relay any more.
+    first = deployment.routers[0]
+    first._state.draining = True
+    assert not await tunnels.is_unreachable(target)
+    first._state.draining = False
+    await asyncio.sleep(relays.AVOID_MS / 1000)
+    await deployment.targets[0].crash()
+    assert await tunnels.is_unreachable(target)
+
+
 async def test_crashes_of_targets_are_seen_through_relays(fleet, caller):
     deployment, _ = fleet
     router = await cut_off_router(fleet, caller)
