--- a/src/bulrushdale/routing/peers.py
+++ b/src/bulrushdale/routing/peers.py
@@ -164,6 +164,9 @@
         "_started_ms",
         "_largest_count",
         "_largest_count_ms",
+        "_sharing",
+        "_sharing_count",
+        "_sharing_expires_ms",
     )
 
     def __init__(
@@ -191,6 +194,11 @@
         self._peer_load_expires_ms = 0
         self._largest_count = 1
         self._largest_count_ms = self._started_ms
+        # Routers that share the slots of brittle targets, and their number;
+        # found again each REPORT_INTERVAL_MS.
+        self._sharing: list[str] = []
+        self._sharing_count = 1
+        self._sharing_expires_ms = 0
 
     def add(
         self, address: str, member: reports.Member = reports.UNKNOWN
@@ -362,14 +370,23 @@
         :param target_id: id of the target.
         :param slots: number of its slots.
         """
-        key = hashing.name_hash(target_id)
+        now_ms = self._clock.now_ms()
+        if now_ms >= self._sharing_expires_ms:
+            self._sharing = [self._own_address, *self.live()]
+            self._sharing_count = self.count()
+            self._sharing_expires_ms = now_ms + REPORT_INTERVAL_MS
         if not self.full_mesh:
             # Only collectors know which routers are live.
-            share, chance = divmod(SHARED_SLOTS * slots / self.count(), 1)
+            share, chance = divmod(
+                SHARED_SLOTS * slots / self._sharing_count, 1
+            )
             own = hashing.fraction(f"{self._own_address} {target_id}")
             return int(share) + (own < chance)
-        routers = hashing.rendezvous(key, [self._own_address, *self.live()])
-        share, left = divmod(slots, len(routers))
+        share, left = divmod(slots, len(self._sharing))
+        if not left:
+            return share
+        key = hashing.name_hash(target_id)
+        routers = hashing.rendezvous(key, self._sharing)
         return share + (routers.index(self._own_address) < left)
 
     def _grantor_among(self, target_id: str, candidates: list[str]) -> Grantor:
