--- a/src/bulrushdale/platform/vms.py
+++ b/src/bulrushdale/platform/vms.py
@@ -1,10 +1,22 @@
 """Client of the platform's list of VMs, which lags behind their state."""
 
 import dataclasses
+import logging
+import typing
 
 import aiohttp
 import orjson
 
+from bulrushdale.platform import addresses
+
+LOG = logging.getLogger(__name__)
+
+MAX_NAME_CHARS = 256
+# Versions are passed on to other routers as 64-bit integers.
+MAX_VERSION = 2**63 - 1
+_ROLE_ROUTER = "router"
+_STATE_LEAVING = "leaving"
+_REQUIRED = ("name", "role", "data_centre", "address", "state")
 # Raised by a read if the platform can't be reached, doesn't respond or
 # responds with an error.
 READ_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
@@ -53,24 +65,56 @@
 
         :raises READ_ERRORS: if the platform can't be reached, doesn't respond
             or responds with an error.
-        :raises ValueError: if the response isn't valid JSON or its version
-            isn't a number.
-        :raises KeyError: if a field is missing.
+        :raises ValueError: if the response isn't a valid list. Invalid
+            entries are skipped.
         """
         async with self._session.get(
             self._url, timeout=self._timeout
         ) as response:
             response.raise_for_status()
-            data = orjson.loads(await response.read())
-        vms = [
-            Vm(
-                item["name"],
-                item["role"] == "router",
-                item["data_centre"],
-                item["address"],
-                item.get("operator_address", ""),
-                item["state"] == "leaving",
-            )
-            for item in data["vms"]
-        ]
-        return int(data["version"]), vms
+            return _decode(await response.read())
+
+
+def _decode(body: bytes) -> tuple[int, list[Vm]]:
+    """Decode the list.
+
+    :raises ValueError: if it isn't a valid list.
+    """
+    data = orjson.loads(body)
+    if not isinstance(data, dict) or not isinstance(data.get("vms"), list):
+        raise ValueError("expected a list of VMs")
+    version = data.get("version")
+    if not isinstance(version, int) or not 0 <= version <= MAX_VERSION:
+        raise ValueError("the version is invalid")
+    listed = []
+    for item in data["vms"]:
+        try:
+            listed.append(_decode_vm(item))
+        except ValueError as error:
+            LOG.warning("invalid entry of a VM skipped: %s", error)
+    return version, listed
+
+
+def _decode_vm(item: typing.Any) -> Vm:
+    """Decode one entry.
+
+    :raises ValueError: if it doesn't describe a VM.
+    """
+    if not isinstance(item, dict):
+        raise ValueError("not an object")
+    item = {"operator_address": "", **item}
+    for name in (*_REQUIRED, "operator_address"):
+        value = item.get(name)
+        if not isinstance(value, str) or len(value) > MAX_NAME_CHARS:
+            raise ValueError(f"{name} is invalid")
+    is_router = item["role"] == _ROLE_ROUTER
+    if is_router and not addresses.is_valid(item["address"]):
+        raise ValueError("address is invalid")
+    return Vm(
+        item["name"],
+        is_router,
+        item["data_centre"],
+        item["address"],
+        item["operator_address"],
+        item["state"] == _STATE_LEAVING,
+    )
