Try targets again through other routers that couldn't be connected to

What callers saw: a stream or a request under way when its router lost its links broke off, though relays would have carried it on: the failed connections to all targets counted as tries, so none was left once the router knew that it reaches none. A target that this router couldn't connect to may be tried again through another one, once.

Evidence: test_stream_goes_on_when_its_router_is_cut_off_meanwhile failed before and passes; another new test shows streams going on in order behind relays. Found by writing the test.

--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -63,6 +63,7 @@
         "_deadline_ms",
         "_service",
         "_tried",
+        "_not_connected",
         "_relaying",
         "_at_risk",
         "_relayed_to",
@@ -102,6 +103,8 @@
             admitted.route.service_for(stream_version.stream_id(inbound)) or ""
         )
         self._tried: set[str] = set()
+        # Those of them that this router couldn't connect to.
+        self._not_connected: set[str] = set()
         # Whether the next attempt goes through another router, and the ids of
         # the targets that such attempts went to.
         self._relaying = False
@@ -282,7 +285,8 @@
         self._relaying = self._needs_relay()
         tried = self._tried
         if self._relaying:
-            tried = tried | self._context.relays.down_targets()
+            tried = tried - self._not_connected
+            tried |= self._context.relays.down_targets()
         for version in self._version.candidates():
             choice = self._context.selection.choose(
                 self._inbound,
@@ -455,6 +459,7 @@
         self._had_free_slot = self._context.selection.has_free_slot(target)
         if self._relaying:
             self._relayed_to.add(target.target_id)
+            self._not_connected.discard(target.target_id)
             self._context.tunnels.use(target)
         outcome = await attempt.open_response(
             self._session(),
@@ -558,6 +563,8 @@
         self._request_log.count_attempt(
             "rejected" if outcome.sent else "unreachable"
         )
+        if not outcome.sent and not self._relaying:
+            self._not_connected.add(target.target_id)
         if outcome.sent:
             self._attempts += 1
         elif outcome.timed_out:
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -409,3 +409,57 @@
             pass
         await asyncio.sleep(0.2)
     assert router._crash_evidence.crashes()
+
+
+async def test_stream_goes_on_in_order_behind_relays(fleet, caller):
+    deployment, _ = fleet
+    router = await cut_off_router(fleet, caller)
+
+    async def break_off(request, writer):
+        first = int(request.headers.get("last-event-id", -1)) + 1
+        writer.write(scripted_target.stream_head(request))
+        writer.write(scripted_target.chunk(scripted_target.event(first)))
+        await writer.drain()
+        return False
+
+    deployment.targets[0].script = break_off
+    for number in range(10):
+        response, body = await send(
+            deployment, caller, number, "/plan/1", router
+        )
+        assert response.status == 200
+        assert body == b"".join(map(scripted_target.event, range(5)))
+
+
+async def test_stream_goes_on_when_its_router_is_cut_off_meanwhile(
+    fleet, caller
+):
+    """Its connection breaks, and no new one can be opened."""
+    deployment, network = fleet
+    router = deployment.routers[1]
+    reached = asyncio.Event()
+
+    async def stop_midway(request, writer):
+        first = int(request.headers.get("last-event-id", -1)) + 1
+        if first:
+            return await gateway_fixtures.respond(request, writer)
+        writer.write(scripted_target.stream_head(request))
+        for number in range(2):
+            event = scripted_target.event(number)
+            writer.write(scripted_target.chunk(event))
+        await writer.drain()
+        reached.set()
+        await asyncio.sleep(0.2)
+        scripted_target.reset_connection(writer)
+        return False
+
+    for target in deployment.targets:
+        target.script = stop_midway
+    waiting = asyncio.create_task(
+        send(deployment, caller, 1, "/plan/1", router)
+    )
+    await reached.wait()
+    network.cut_off["r2"] = ConnectionRefusedError()
+    response, body = await waiting
+    assert response.status == 200
+    assert body == b"".join(map(scripted_target.event, range(5)))
