Send nothing to a brittle target that leaves during the wait for a risk

A target may say that it leaves, or that it wants no requests, while a router waits for the permit of a request at risk; the check came before that wait. The same fault as in the wait for a permit of a limited target. The new test failed before and passes.

--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -224,9 +224,6 @@
             target = choice.target
             limited = target.limit_per_s is not None
             wait_ms = await self._context.permits.acquire(target, self._rank)
-            if target.leaving or target.backing_off:
-                # It said so while this router waited for the permit.
-                continue
             if limited:
                 self._context.metrics.permits.record(
                     1, {"outcome": "refused" if wait_ms else "granted"}
@@ -237,6 +234,9 @@
                 self._context.metrics.permits.record(
                     1, {"outcome": "risk refused" if wait_ms else "at risk"}
                 )
+            if target.leaving or target.backing_off:
+                # It said so while this router waited for a permit.
+                continue
             if not wait_ms:
                 self._record_choice(choice)
                 return choice
--- a/tests/test_brittle_targets.py
+++ b/tests/test_brittle_targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import types
 
 import aiohttp
 import multidict
@@ -236,3 +237,27 @@
     )
     assert head.max_rejections_per_s == expected
     assert head.states_max_rejections == (expected is not None)
+
+
+async def test_target_that_leaves_during_the_wait_for_a_risk_gets_no_work(
+    deployment,
+):
+    router = deployment.routers[0]
+    for target in router._targets.all():
+        target.set_max_rejections(MAX_REJECTED, router._clock.now_ms())
+        target.record_full()
+
+    async def acquire(*_):
+        return 0
+
+    async def acquire_risk(asked):
+        router._targets.mark_leaving(asked, "test")
+        return 0
+
+    router._context.permits = types.SimpleNamespace(
+        acquire=acquire, acquire_risk=acquire_risk
+    )
+    async with aiohttp.ClientSession() as caller:
+        response = await send(deployment, caller, 0, "/lookup/1")
+    assert response.status == 503
+    assert not any(target.received for target in deployment.targets)
