Brittle targets: the test plays routes without repeats

It failed once, at a load of 18 on eight cores: a caller got 502 (4001, "no target available: 3 good"). Traced: the request timed out at its first target, may have run there and found no other one; that is allowed where requests may be repeated. Now it plays /chat and /order, which have no time-outs, with the same set of statuses and the same bounds, at half the rate and with runs twice as long, so the load is two and a half times the capacity as before.

--- a/tests/test_brittle_targets.py
+++ b/tests/test_brittle_targets.py
@@ -16,12 +16,12 @@
 from tests import gateway_fixtures
 
 SLOTS = 8
-RUN_MS = 300
+RUN_MS = 600
 # Rejections in a second that a target bears.
 MAX_REJECTED = 3
 TARGETS = 3
 ROUTERS = 3
-REQUESTS_PER_S = 200
+REQUESTS_PER_S = 100
 SECONDS = 5
 # Time in which routers have to learn of it; shorter than the users' 3,000 ms.
 REACTION_S = 1.5
@@ -58,7 +58,7 @@
         finally:
             self._running -= 1
         self.done += 1
-        if "/plan/" not in request.line:
+        if "/chat/" not in request.line:
             writer.write(scripted_target.response(request, **brittle))
             return
         head = scripted_target.stream_head(request)
@@ -110,7 +110,8 @@
         return response
 
 
-@pytest.mark.parametrize("path", ["/plan/1", "/lookup/1"])
+# Routes without repeats: a repeat after a time-out may end in 502.
+@pytest.mark.parametrize("path", ["/chat/1", "/order/1"])
 async def test_brittle_targets_are_not_sent_more_than_they_can_reject(
     deployment, path
 ):
