Tests: build the context and the drain with their new parts

Their checks are unchanged; the machine also asserts that the limit lies within the time of the drain.

--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -17,6 +17,7 @@
 from bulrushdale.forwarding import metrics as metrics_module
 from bulrushdale.forwarding import permits
 from bulrushdale.forwarding import proxy
+from bulrushdale.forwarding import stop_limit
 from bulrushdale import results
 from bulrushdale.routing import access
 from bulrushdale.routing import budget as budget_module
@@ -26,6 +27,7 @@
 from bulrushdale.routing import prefix_locations
 from bulrushdale.routing import quarantine
 from bulrushdale.routing import rate_limits
+from bulrushdale.routing import relays
 from bulrushdale.routing import selection
 from bulrushdale.routing import targets as targets_module
 from bulrushdale.routing import versions
@@ -43,7 +45,7 @@
 class FakeProber:
     """Prober without time limits or checks."""
 
-    def watch(self, *_):
+    def watch(self, *_, **__):
         return contextlib.nullcontext()
 
     def record_unreachable(self, target):
@@ -105,6 +107,9 @@
         ),
         session=None,
         at_most_once_session=None,
+        relay_session=None,
+        tunnels=None,
+        relays=relays.Relays("dc0", peers, clock),
         revisions=None,
         targets=targets,
         peers=peers,
@@ -118,6 +123,7 @@
         budget=budget_module.RetryBudget(clock, 0.2, 100, 10_000),
         key_age_limit_ms=None,
         draining=lambda: False,
+        stop_limit=stop_limit.StopLimit(),
         metrics=METRICS,
         prober=FakeProber(),
         crash_detector=crashes.CrashDetector(
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -321,6 +321,9 @@
         self.listening = False
         self.closed_ms = self.clock.now_ms()
 
+    def limit_requests(self, remaining_ms):
+        assert 0 < remaining_ms < self.TIMEOUT_MS
+
     def run_drain(self):
         """Let the drain go on until it has to wait again, or ends."""
         if self.drain_run is None or self.unfinished is not None:
@@ -380,6 +383,7 @@
             self.gateway_state,
             self.server,
             self.close_ports,
+            types.SimpleNamespace(start=self.limit_requests),
             self.clock,
             self.NOTICE_MS,
             self.TIMEOUT_MS,
