--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,8 +8,8 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from common import fleet as fleet_module  # noqa: E402
-from common import streams as streams_module  # noqa: E402
+import fleet as fleet_module  # noqa: E402
+import streams as streams_module  # noqa: E402
 
 STREAMS = 16
 
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -12,9 +12,9 @@
 import time
 import tomllib
 
-from common import store as store_module
+import store as store_module
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 HOST = "shop.example"
 KEY = "n2ctnfzs989anu6wsjnb"
 TENANT = "hule930"
--- a/review/streams.py
+++ b/review/streams.py
@@ -4,7 +4,7 @@
 import signal
 import time
 
-from common import fleet as fleet_module
+import fleet as fleet_module
 
 EVENTS = 56
 GAP_S = 0.25
