Ask the other routers for the streams they told before the start

Cause: a stream whose version doesn't follow from its id is told to the other routers for 2 s.

Evidence: request.resumed of the restarted router says software=v1, possible=['v1'] for the streams that began at v2, so the history is right and the missing exceptions are the fault.

Why this works: a router that starts reads the exceptions of the others before it trusts an id. Until then an id counts only where one version has served alone. Routers of earlier versions have no such page (404); beside them an id is trusted as before.

--- a/src/bulrushdale/forwarding/context.py
+++ b/src/bulrushdale/forwarding/context.py
@@ -76,6 +76,8 @@
     :ivar stream_versions: versions of some streams.
     :ivar versions_restored: set once the history includes the time before
         this router started.
+    :ivar streams_synced: set once other routers were asked for the streams
+        that they told before this router started.
     :ivar targets_are_current: returns whether no router knew targets that
         this one doesn't at a time, in ms of the boot clock.
     """
@@ -104,6 +106,7 @@
         "version_history",
         "stream_versions",
         "versions_restored",
+        "streams_synced",
         "targets_are_current",
     )
 
@@ -132,6 +135,7 @@
         version_history: versions.VersionHistory,
         stream_versions: versions.StreamVersions,
         versions_restored: asyncio.Event,
+        streams_synced: asyncio.Event,
         targets_are_current: abc.Callable[[int], bool],
     ) -> None:
         self.clock = clock
@@ -157,4 +161,5 @@
         self.version_history = version_history
         self.stream_versions = stream_versions
         self.versions_restored = versions_restored
+        self.streams_synced = streams_synced
         self.targets_are_current = targets_are_current
--- a/src/bulrushdale/forwarding/peer_transport.py
+++ b/src/bulrushdale/forwarding/peer_transport.py
@@ -263,10 +263,12 @@
 
     :ivar on_message: called with each datagram that holds no report, and the
         address of its sender; none to ignore them.
+    :ivar pages: returns what peers may read here besides replicas, by name.
     """
 
     __slots__ = (
         "on_message",
+        "pages",
         "_address",
         "_peers",
         "_on_report",
@@ -289,6 +291,7 @@
         clock: clock_module.Clock,
     ) -> None:
         self.on_message: abc.Callable[[bytes, str], None] | None = None
+        self.pages: dict[str, abc.Callable[[], bytes]] = {}
         self._address = address
         self._peers = peers
         self._on_report = on_report
@@ -313,7 +316,7 @@
             local_addr=(host, int(port)),
         )
         self._runner = web.ServerRunner(
-            web.Server(self._serve_records, access_log=None)
+            web.Server(self._serve, access_log=None)
         )
         await self._runner.setup()
         await web.TCPSite(self._runner, host, int(port)).start()
@@ -364,6 +367,13 @@
                 data = encoded[id(report)] = encode_report(report)
             self.send(address, data)
 
+    async def _serve(self, request: web.BaseRequest) -> web.Response:
+        """Serve a peer's read of a page or of a replica."""
+        make_page = self.pages.get(request.path.removeprefix("/"))
+        if make_page is not None:
+            return web.Response(body=make_page())
+        return await self._serve_records(request)
+
     async def _serve_records(self, request: web.BaseRequest) -> web.Response:
         """Serve a peer's read, which may ask to wait for new records."""
         replica = self._replicas.get(request.path.removeprefix("/feeds/"))
--- /dev/null
+++ b/src/bulrushdale/forwarding/stream_sync.py
@@ -0,0 +1,178 @@
+"""Asks other routers for the versions of streams that they told before.
+
+Routers tell each other of a stream whose version doesn't follow from its id
+when it begins. A router that starts later has missed that, and would take the
+version that follows for the right one.
+"""
+
+import asyncio
+import logging
+import random
+import typing
+import zlib
+
+import aiohttp
+import orjson
+
+from bulrushdale import clock as clock_module
+from bulrushdale.forwarding import connections
+from bulrushdale.routing import peers as peers_module
+from bulrushdale.routing import versions
+
+LOG = logging.getLogger(__name__)
+
+# Name of the page that other routers read.
+PAGE = "streams"
+# Routers asked in a large fleet, where each has been told of the streams of all
+# others; in a small one all are asked.
+MAX_ASKED = 4
+# A live router responds within a few ms.
+ANSWER_TIMEOUT_MS = 500
+# MAX_STREAMS streams take about 400 KB, a quarter of that compressed.
+MAX_PAGE_BYTES = 1 << 20
+MAX_STREAMS_BYTES = 4 << 20
+MAX_VERSION_CHARS = 64
+MAX_HASH = 2**64 - 1
+
+
+def encode_page(streams: list[versions.KnownStream]) -> bytes:
+    """Encode the streams that a router knows."""
+    return zlib.compress(
+        orjson.dumps(
+            {
+                "streams": [
+                    [stream.stream_hash, stream.version, stream.age_ms]
+                    for stream in streams
+                ]
+            }
+        ),
+        zlib.Z_BEST_SPEED,
+    )
+
+
+def decode_page(body: bytes) -> list[versions.KnownStream]:
+    """Decode the streams that another router knows.
+
+    :raises ValueError: if the page is invalid.
+    """
+    try:
+        data = orjson.loads(
+            zlib.decompressobj().decompress(body, MAX_STREAMS_BYTES)
+        )
+        return [decode_stream(*fields) for fields in data["streams"]]
+    except (TypeError, LookupError, zlib.error) as error:
+        raise ValueError(repr(error)) from error
+
+
+def decode_stream(
+    stream_hash: typing.Any, version: typing.Any, age_ms: typing.Any
+) -> versions.KnownStream:
+    """Decode one stream.
+
+    :raises ValueError: if a field is invalid.
+    """
+    if type(stream_hash) is not int or not 0 <= stream_hash <= MAX_HASH:
+        raise ValueError("the hash is invalid")
+    if not isinstance(version, str) or len(version) > MAX_VERSION_CHARS:
+        raise ValueError("the version is invalid")
+    if type(age_ms) is not int:
+        raise ValueError("the age is invalid")
+    return versions.KnownStream(
+        stream_hash, version, min(max(0, age_ms), versions.HISTORY_MS)
+    )
+
+
+class StreamSync:
+    """Learns from other routers what they told before this one started.
+
+    :param streams: the versions of streams that this router knows.
+    :param peers: the other routers.
+    :param session: the HTTP session to other routers.
+    :param clock: the clock.
+
+    :ivar done: set once the other routers were asked.
+    """
+
+    __slots__ = ("done", "_streams", "_peers", "_session", "_clock")
+
+    def __init__(
+        self,
+        streams: versions.StreamVersions,
+        peers: peers_module.Peers,
+        session: aiohttp.ClientSession,
+        clock: clock_module.Clock,
+    ) -> None:
+        self.done = asyncio.Event()
+        self._streams = streams
+        self._peers = peers
+        self._session = session
+        self._clock = clock
+
+    def page(self) -> bytes:
+        """Return the page for other routers."""
+        return encode_page(self._streams.known())
+
+    async def run(self, discovered: asyncio.Event) -> None:
+        """Ask the other routers once.
+
+        What they are told from then on, they tell this router as well.
+
+        :param discovered: set once the other routers may be known.
+        """
+        await discovered.wait()
+        asked = self._sources()
+        pages = await asyncio.gather(*map(self._read, asked))
+        answered = [page for page in pages if page is not None]
+        for page in answered:
+            self._streams.restore(page)
+        LOG.info(
+            "versions of streams read from other routers",
+            extra={
+                "event": "link.streams",
+                "asked": len(asked),
+                "answered": len(answered),
+                "streams": len(self._streams.known()),
+            },
+        )
+        self.done.set()
+
+    def _sources(self) -> list[str]:
+        """Return the routers to ask, those first that have reported."""
+        live = self._peers.live()
+        others = [a for a in self._peers.addresses() if a not in live]
+        random.shuffle(others)
+        sources = [*live, *others]
+        return sources if self._peers.full_mesh else sources[:MAX_ASKED]
+
+    async def _read(self, address: str) -> list[versions.KnownStream] | None:
+        """Read the page of a router; return none without a valid one.
+
+        Routers of earlier versions have no such page.
+        """
+        timeout = aiohttp.ClientTimeout(
+            total=ANSWER_TIMEOUT_MS / 1000,
+            sock_connect=connections.CONNECT_TIMEOUT_MS / 1000,
+        )
+        try:
+            async with self._session.get(
+                f"http://{address}/{PAGE}", timeout=timeout
+            ) as response:
+                if response.status != 200:
+                    raise ValueError(f"status {response.status}")
+                body = await connections.read_bounded(response, MAX_PAGE_BYTES)
+            return decode_page(body)
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            ValueError,
+        ) as error:
+            LOG.info(
+                "versions of streams not read from a router",
+                extra={
+                    "event": "link.no_streams",
+                    "peer": address,
+                    "reason": repr(error),
+                },
+            )
+            return None
--- a/src/bulrushdale/forwarding/stream_version.py
+++ b/src/bulrushdale/forwarding/stream_version.py
@@ -12,8 +12,9 @@
 from bulrushdale.routing import targets as targets_module
 from bulrushdale.routing import versions
 
-# How long a take-up waits for the version history of a router that starts. The
-# store responds within a few ms.
+# How long a take-up waits for the version history of a router that starts, and
+# for what the other routers told before. They and the store respond within a
+# few ms.
 RESTORE_WAIT_MS = 300
 # No stream begins, breaks off and is taken up within this time.
 MIN_STREAM_MS = 250
@@ -119,12 +120,18 @@
         self._composition()
         known = self._context.stream_versions.get(self._stream_id)
         if known is None:
-            await self._wait_until_restored()
+            await self._wait_briefly(self._context.versions_restored)
+            await self._wait_briefly(self._context.streams_synced)
         is_current = known is not None or await self._wait_until_current()
         self._composition()
         known = known or self._context.stream_versions.get(self._stream_id)
         possible = self._possible()
-        if known is None and is_current and len(possible) == 1:
+        if (
+            known is None
+            and is_current
+            and len(possible) == 1
+            and self._was_told_of_others()
+        ):
             (known,) = possible
         self._context.metrics.resumed_streams.record(
             1, {"outcome": "refused" if known is None else "placed"}
@@ -160,10 +167,18 @@
                 return True
         return context.peers.hears_most()
 
-    async def _wait_until_restored(self) -> None:
-        """Wait briefly for the history from before this router started."""
-        restored = self._context.versions_restored
-        if not restored.is_set():
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(RESTORE_WAIT_MS / 1000):
-                    await restored.wait()
+    def _was_told_of_others(self) -> bool:
+        """Return whether a version that follows from an id is the right one.
+
+        Only a stream that this router was told of began at another version.
+        """
+        served = self._context.version_history.served_versions(
+            self._service, self._route.timeout_ms
+        )
+        return len(served) == 1 or self._context.streams_synced.is_set()
+
+    async def _wait_briefly(self, restored: asyncio.Event) -> None:
+        """Wait for something from before this router started."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(RESTORE_WAIT_MS / 1000):
+                await restored.wait()
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -28,6 +28,7 @@
 from bulrushdale.forwarding import servers
 from bulrushdale.forwarding import settings as settings_module
 from bulrushdale.forwarding import stop_limit
+from bulrushdale.forwarding import stream_sync as stream_sync_module
 from bulrushdale.forwarding import tunnel_server
 from bulrushdale.forwarding import tunnels
 from bulrushdale.platform import configuration
@@ -227,6 +228,12 @@
         self._version_store = version_store_module.VersionStore(
             self._store, self._version_history, clock
         )
+        self._stream_sync = stream_sync_module.StreamSync(
+            self._stream_versions, self._peers, internal_session, clock
+        )
+        self._peer_transport.pages[stream_sync_module.PAGE] = (
+            self._stream_sync.page
+        )
         relays = relays_module.Relays(settings.data_centre, self._peers, clock)
         tunnel_client = tunnels.TunnelClient(
             relays,
@@ -290,6 +297,7 @@
             version_history=self._version_history,
             stream_versions=self._stream_versions,
             versions_restored=self._version_store.restored,
+            streams_synced=self._stream_sync.done,
             targets_are_current=self._targets_are_current,
         )
         self._tunnel_server = tunnel_server.TunnelServer(
@@ -422,6 +430,7 @@
             ),
             self._keep_quarantines(),
             self._version_store.run(self._saves_versions),
+            self._stream_sync.run(self._discovery_attempted),
             self._run_every(
                 peers_module.REPORT_INTERVAL_MS, self._send_report
             ),
--- a/src/bulrushdale/routing/versions.py
+++ b/src/bulrushdale/routing/versions.py
@@ -8,7 +8,8 @@
 last computes the version again.
 
 A stream whose version doesn't follow, as the numbers were changing or its
-version had no target, is told to the other routers.
+version had no target, is told to the other routers. One that starts asks them
+for what they told before.
 """
 
 import collections
@@ -160,6 +161,26 @@
         )
         return frozenset(v for v in versions if v is not None)
 
+    def served_versions(
+        self, service: str, max_age_ms: float
+    ) -> frozenset[str]:
+        """Return the versions that have had a target lately.
+
+        :param service: the service.
+        :param max_age_ms: how long ago at most, in ms.
+        """
+        history = self._by_service.get(service, [])
+        began_ms = self._clock.now_ms() - max_age_ms - MARGIN_MS
+        ends_ms = [dated.since_ms for dated in history[1:]]
+        return frozenset(
+            version
+            for dated, end_ms in zip(
+                history, [*ends_ms, math.inf], strict=True
+            )
+            if end_ms >= began_ms
+            for version, _ in dated.composition.counts
+        )
+
     def is_settled(self, service: str, max_age_ms: float) -> bool:
         """Return whether one version has served alone for some time.
 
@@ -204,6 +225,20 @@
         self._expire(history)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownStream:
+    """A stream whose version doesn't follow from its id.
+
+    :param stream_hash: hash of the stream's id.
+    :param version: the version that began it.
+    :param age_ms: how long ago the version was learned, in ms.
+    """
+
+    stream_hash: int
+    version: str
+    age_ms: int
+
+
 class StreamVersions:
     """Versions of streams that don't follow from the streams' ids.
 
@@ -244,6 +279,36 @@
         for stream_hash, version in streams.items():
             self._streams[stream_hash] = (version, now_ms)
             self._streams.move_to_end(stream_hash)
+        self._expire()
+
+    def restore(self, streams: abc.Iterable[KnownStream]) -> None:
+        """Record streams that another router knows.
+
+        :param streams: the streams; those that are known here are ignored.
+        """
+        now_ms = self._clock.now_ms()
+        found = {
+            stream.stream_hash: (stream.version, now_ms - stream.age_ms)
+            for stream in streams
+        }
+        ordered = sorted(
+            {**found, **self._streams}.items(), key=lambda item: item[1][1]
+        )
+        self._streams = collections.OrderedDict(ordered)
+        self._expire()
+
+    def known(self) -> list[KnownStream]:
+        """Return all streams, the latest last."""
+        self._expire()
+        now_ms = self._clock.now_ms()
+        return [
+            KnownStream(stream_hash, version, now_ms - learned_ms)
+            for stream_hash, (version, learned_ms) in self._streams.items()
+        ]
+
+    def _expire(self) -> None:
+        """Forget streams that have ended, and the earliest of too many."""
+        now_ms = self._clock.now_ms()
         while self._streams:
             _, learned_ms = next(iter(self._streams.values()))
             expired = now_ms - learned_ms > HISTORY_MS
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -142,6 +142,7 @@
         version_history=versions.VersionHistory(clock),
         stream_versions=versions.StreamVersions(clock),
         versions_restored=asyncio.Event(),
+        streams_synced=asyncio.Event(),
         targets_are_current=lambda as_of_ms: True,
     )
     inbound = emulator.make_request("q1")
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -39,14 +39,23 @@
     """Script of a target whose events name its software version.
 
     :ivar events: events until it breaks off; none to send all.
+    :ivar full: whether it rejects requests without running them.
     """
 
     def __init__(self, version):
         self.version = version
         self.events = None
+        self.full = False
         self.served = 0
 
     async def __call__(self, request, writer):
+        if self.full:
+            writer.write(
+                scripted_target.response(
+                    request, "503 Service Unavailable", X_Not_Executed="1"
+                )
+            )
+            return None
         self.served += 1
         first = int(request.headers.get("last-event-id", -1)) + 1
         end = EVENTS if self.events is None else first + self.events
