End a tunnel with a reset unless the target ended in order

Cause: the answers have no length and end with their connection. The kernel ends the connections of a killed process in an orderly way, so the entry router took the relay's death for the end of the answer. The same with SIGTERM where an answer is longer than the drain.

Why this works: a relay sets its end of a tunnel to reset on close from the start, and the kernel keeps to that when the process ends, however it ends. The option is taken back only after the target's connection ended in an orderly way and the transport's buffer is empty.

Ruled out: an error dropped by the entry router; a reset already counts as broken there.

--- a/examples/standins/scripted_target.py
+++ b/examples/standins/scripted_target.py
@@ -98,9 +98,9 @@
         self._server: asyncio.Server | None = None
         self.address = ""
 
-    async def start(self, host: str = "127.0.0.1") -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, host, 0)
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        """Listen on a port, or on a free one."""
+        self._server = await asyncio.start_server(self._serve, host, port)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{host}:{port}"
 
--- a/src/bulrushdale/forwarding/connections.py
+++ b/src/bulrushdale/forwarding/connections.py
@@ -31,6 +31,7 @@
 # SO_LINGER with a zero timeout: close() drops unsent data and resets the
 # connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_END_ON_CLOSE = struct.pack("ii", 0, 0)
 _HEAD_END = b"\r\n\r\n"
 # Stray responses up to this size are read and discarded to keep the
 # connection. For larger ones a new connection costs less.
@@ -51,10 +52,26 @@
 
 
 def reset_on_close(transport: asyncio.BaseTransport) -> None:
-    """Make the end of a connection a reset, which drops unsent data."""
+    """Make the end of a connection a reset, which drops unsent data.
+
+    The kernel also resets it if this process is killed.
+    """
+    _set_linger(transport, _RESET_ON_CLOSE)
+
+
+def end_on_close(transport: asyncio.BaseTransport) -> None:
+    """Make the end of a connection an orderly one again.
+
+    Data that is still in the buffer of the transport would be lost if this
+    process were killed, and the end would look like that of all data.
+    """
+    _set_linger(transport, _END_ON_CLOSE)
+
+
+def _set_linger(transport: asyncio.BaseTransport, linger: bytes) -> None:
     sock = transport.get_extra_info("socket")
     if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
 def make_socket(
--- a/src/bulrushdale/forwarding/stream_sync.py
+++ b/src/bulrushdale/forwarding/stream_sync.py
@@ -23,8 +23,8 @@
 
 # Name of the page that other routers read.
 PAGE = "streams"
-# Routers asked in a large fleet, where each has been told of the streams of all
-# others; in a small one all are asked.
+# Routers asked in a large fleet, where each has been told of the streams of
+# all others; in a small one all are asked.
 MAX_ASKED = 4
 # A live router responds within a few ms.
 ANSWER_TIMEOUT_MS = 500
--- a/src/bulrushdale/forwarding/tunnel_server.py
+++ b/src/bulrushdale/forwarding/tunnel_server.py
@@ -90,8 +90,15 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Serve a connection of another router until either end closes."""
+        """Serve a connection of another router until either end closes.
+
+        A response may end with its connection, so the connection ends with a
+        reset unless the target has ended its own in an orderly way.
+        """
         connections.set_socket_options(writer.get_extra_info("socket"))
+        connections.reset_on_close(writer.transport)
+        # A drained transport then has nothing left that a kill would lose.
+        writer.transport.set_write_buffer_limits(high=0)
         self._state.tunnels += 1
         try:
             target, answer = await self._receive(reader, writer)
@@ -111,14 +118,13 @@
                     "tunnels": self._state.tunnels,
                 },
             )
-            if upstream is not None:
-                await _join((reader, writer), upstream)
+            if upstream is None or await _join((reader, writer), upstream):
+                connections.end_on_close(writer.transport)
         except (OSError, TimeoutError, ValueError) as error:
             LOG.info(
                 "tunnel ended",
                 extra={"event": "link.tunnel_ended", "reason": repr(error)},
             )
-            connections.reset_on_close(writer.transport)
         finally:
             self._state.tunnels -= 1
             writer.close()
@@ -181,13 +187,14 @@
         return None
 
 
-async def _join(downstream: _Streams, upstream: _Streams) -> None:
+async def _join(downstream: _Streams, upstream: _Streams) -> bool:
     """Pass bytes between a router and a target until either end closes.
 
     An orderly end of the target's connection may be the end of its response.
     Any other end must not look like one, and one of the router's connection
     must end the request at the target.
 
+    :return: whether the target ended its connection in an orderly way.
     :raises OSError: if either connection broke.
     """
     requests = asyncio.create_task(_copy(downstream[0], upstream[1]))
@@ -198,6 +205,7 @@
         )
         for task in done:
             task.result()
+        return responses in done
     finally:
         requests.cancel()
         responses.cancel()
