Reset the connection of an HTTP/1.0 caller whose router is killed

What callers saw: a caller of HTTP/1.0 takes a part of its stream for all of it when the router is killed.

HTTP/1.0 has no chunks, so an answer ends with its connection, and the kernel of a killed process ends that in an orderly way. A break that the router noticed itself was a reset already.

Why this works: the connection is set to end with a reset when the answer begins, and in order again once the whole answer is with the kernel.

Red before: test_caller_of_http_1_0_can_tell_that_its_router_was_killed[*-True].

--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -353,7 +353,6 @@
         """Return the error that ends the request without a full response."""
         if self._response is not None:
             self._request_log.log("request.cut", detail=detail)
-            self._break_off()
             return ConnectionResetError(detail)
         if self._may_have_run_at:
             late = self._remaining_ms() <= 0
@@ -379,16 +378,6 @@
             retry_after_ms = refusals.OTHER_ROUTER_RETRY_AFTER_MS
         return refusals.refuse(results.Code.NO_TARGET, detail, retry_after_ms)
 
-    def _break_off(self) -> None:
-        """Make sure that the started response doesn't look complete.
-
-        HTTP/1.0 has no chunks: the response ends with the connection, and only
-        a reset tells that it is incomplete.
-        """
-        transport = self._web_request.transport
-        if self._web_request.version < aiohttp.HttpVersion11 and transport:
-            connections.reset_on_close(transport)
-
     def _may_retry(self) -> bool:
         """Return whether the request may run at one more target.
 
@@ -732,7 +721,7 @@
                     await response.write(data)
                 if not await self._is_whole(target, opened):
                     raise aiohttp.ClientPayloadError(_ENDED_WITH_TARGET.reason)
-                await response.write_eof()
+                await self._end_response(response)
         except (TimeoutError, aiohttp.ClientError) as error:
             target.health.record(failed=True)
             raise self._final_error(
@@ -767,7 +756,7 @@
         target.health.record(failed=False)
         self._request_log.record_response(target.target_id, opened.head.status)
         response = await self._started_response(opened.head)
-        await response.write_eof()
+        await self._end_response(response)
         return response
 
     async def _relay_events(
@@ -864,5 +853,29 @@
             if self._context.draining():
                 self._response.force_close()
             self._request_log.log("request.first_event")
+            transport = self._transport_without_chunks
+            if transport is not None:
+                connections.reset_on_close(transport)
+                # A drained transport then has nothing left that a kill would
+                # lose.
+                transport.set_write_buffer_limits(high=0)
             await self._response.prepare(self._web_request)
         return self._response
+
+    @property
+    def _transport_without_chunks(self) -> asyncio.WriteTransport | None:
+        """The transport to a caller of HTTP/1.0; none for other callers.
+
+        HTTP/1.0 has no chunks: a response ends with the connection, and only
+        a reset tells that it is incomplete.
+        """
+        if self._web_request.version >= aiohttp.HttpVersion11:
+            return None
+        return self._web_request.transport
+
+    async def _end_response(self, response: web.StreamResponse) -> None:
+        """End the started response to the caller, which is complete."""
+        await response.write_eof()
+        transport = self._transport_without_chunks
+        if transport is not None:
+            connections.end_on_close(transport)
--- a/tests/test_killed_targets.py
+++ b/tests/test_killed_targets.py
@@ -9,6 +9,7 @@
 
 from examples import ports
 from examples.standins import scripted_target
+from examples.standins import settings_file
 from tests import gateway_fixtures
 from tests import router_processes
 from tests import streaming_target
@@ -103,3 +104,30 @@
     assert not cut_short
     # The retry budget of one router is enough for some of the streams.
     assert any(whole for _, whole in streams)
+
+
+@pytest.mark.parametrize("killed", [True, False])
+async def test_caller_of_http_1_0_can_tell_that_its_router_was_killed(
+    fleet, killed
+):
+    # Its answer ends with the connection, which the kernel of a killed router
+    # ended in an orderly way.
+    (router,) = fleet.processes
+    reader, writer = await asyncio.open_connection(
+        router.ip, settings_file.CALLER_PORT
+    )
+    writer.write(
+        b"POST /plan/x HTTP/1.0\r\nHost: example.test\r\nX-Request-Id: q1\r\n"
+        b"Authorization: Bearer key-1\r\n\r\n"
+    )
+    received = await reader.readuntil(b"id: 5\n")
+    if killed:
+        await router.kill()
+    try:
+        received += await reader.read()
+        ended_in_order = True
+    except ConnectionResetError:
+        ended_in_order = False
+    writer.close()
+    assert received.endswith(b"\r\n\r\n" + WHOLE) == ended_in_order
+    assert ended_in_order != killed
