Treat a read of the store that ends within a record as failed

A response without a length ends with its connection, also where the store was killed. The cut record counted as an invalid one and was skipped.

Red before: test_read_that_ends_within_a_record_skips_no_record, all cases.

--- a/src/bulrushdale/platform/store.py
+++ b/src/bulrushdale/platform/store.py
@@ -115,14 +115,19 @@
 
 
 def _split_frames(data: bytes) -> list[bytes]:
-    """Split data into the frames that :func:`_frame` encodes."""
+    """Split data into the frames that :func:`_frame` encodes.
+
+    :raises ValueError: if the data ends within a frame.
+    """
     frames: list[bytes] = []
     position = 0
-    while position + _LENGTH_BYTES <= len(data):
+    while position < len(data):
         length = int.from_bytes(
             data[position : position + _LENGTH_BYTES], "big"
         )
         position += _LENGTH_BYTES
+        if position + length > len(data):
+            raise ValueError("the data ends within a frame")
         frames.append(data[position : position + length])
         position += length
     return frames
@@ -327,12 +332,16 @@
         data = response.data
         if len(data) < 2 * _OFFSET_BYTES:
             raise records_module.SourceError("log-read: response too short")
+        try:
+            contents = _split_frames(data[2 * _OFFSET_BYTES :])
+        except ValueError as error:
+            raise records_module.SourceError(f"log-read: {error}") from error
         return RawPage(
             first_offset=int.from_bytes(
                 data[_OFFSET_BYTES : 2 * _OFFSET_BYTES]
             ),
             end_offset=int.from_bytes(data[:_OFFSET_BYTES]),
-            records=_split_frames(data[2 * _OFFSET_BYTES :]),
+            records=contents,
             era=response.era,
         )
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -247,3 +247,29 @@
     async with store_naming_eras(None, None) as store:
         for _ in range(2):
             assert (await store.read("keyed.op", 0)).era == 0
+
+
+@pytest.mark.parametrize("missing_bytes", range(1, 11))
+async def test_read_that_ends_within_a_record_skips_no_record(missing_bytes):
+    # A store without lengths that is killed ends its response in order.
+    record = store_module._frame(b"\x01kvalue")
+    end_offset, first_offset = (2).to_bytes(8), bytes(8)
+    body = end_offset + first_offset + 2 * record
+
+    async def serve(request):
+        response = web.StreamResponse()
+        response.force_close()
+        response._length_check = False
+        await response.prepare(request)
+        await response.write(body[:-missing_bytes])
+        return response
+
+    app = web.Application()
+    app.router.add_get("/bulrushdale/log-read", serve)
+    async with (
+        test_utils.TestServer(app) as server,
+        aiohttp.ClientSession() as session,
+    ):
+        store = store_module.Store(session, str(server.make_url("")))
+        with pytest.raises(records.SourceError, match="within a frame"):
+            await store.read("keyed.op", 0)
