Count runs at targets that are silent, or leave, as attempts

What callers and targets saw: requests that run at three targets where their route allows two (BUDGET).

Cause: a run at a target that this router finds unreachable wasn't counted. Two connections that don't open within 140 ms say little where the router's own link or processor is slow: all targets look unreachable then (61 at one router), and requests on open connections run on. A target that leaves refuses connections while it still works.

Why this works: a refusal tells that the process has ended; only then is the run left out, and not for a target that leaves.

Not shown: that the users' cases are of this kind.

--- a/src/bulrushdale/forwarding/probes.py
+++ b/src/bulrushdale/forwarding/probes.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections import abc
 import contextlib
+import enum
 import logging
 
 from bulrushdale import clock as clock_module
@@ -36,6 +37,16 @@
 RECHECK_INTERVAL_MS = 500
 
 
+class _Check(enum.Enum):
+    """Result of a check."""
+
+    CONNECTED = enum.auto()
+    REFUSED = enum.auto()
+    NO_RESPONSE = enum.auto()
+    # This router was too busy to tell.
+    INCONCLUSIVE = enum.auto()
+
+
 class Prober:
     """Checks targets and ends waits for unreachable ones.
 
@@ -149,11 +160,16 @@
         await asyncio.wait({self._checks[target.target_id]})
         return target.health.unreachable
 
-    def record_unreachable(self, target: targets_module.Target) -> None:
+    def record_unreachable(
+        self, target: targets_module.Target, refused: bool = True
+    ) -> None:
         """Mark a target unreachable, and check the rest of its data centre.
 
-        Called when the target refuses connections or doesn't answer them.
+        :param target: the target.
+        :param refused: whether it refuses connections; otherwise it doesn't
+            answer them.
         """
+        target.health.refusing = refused
         if target.health.unreachable:
             return
         target.health.unreachable = True
@@ -180,7 +196,9 @@
         """Check a target until the check is conclusive; record the result."""
         target.health.suspected = suspected
         try:
-            while (reachable := await self._is_reachable(target)) is None:
+            while (
+                result := await self._connect(target)
+            ) is _Check.INCONCLUSIVE:
                 LOG.info(
                     "check was inconclusive because this router is busy",
                     extra={
@@ -190,38 +208,33 @@
                 )
         finally:
             target.health.suspected = False
-        if reachable:
+        if result is _Check.CONNECTED:
             self._record_reachable(target)
         else:
-            self.record_unreachable(target)
+            self.record_unreachable(target, result is _Check.REFUSED)
 
-    async def _is_reachable(
-        self, target: targets_module.Target
-    ) -> bool | None:
+    async def _connect(self, target: targets_module.Target) -> _Check:
         """Return whether a target accepts connections.
 
         From the second try on, the target is suspected and thus avoided.
-
-        :return: none if this router was too busy to tell.
         """
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         tries = {asyncio.create_task(_can_connect(target.address))}
         try:
             if await _any_connected(tries, SECOND_TRY_MS):
-                return True
+                return _Check.CONNECTED
             target.health.suspected = True
             tries.add(asyncio.create_task(_can_connect(target.address)))
             if await _any_connected(tries, CHECK_TIMEOUT_MS):
-                return True
-            all_failed = all(task.done() for task in tries)
+                return _Check.CONNECTED
+            if all(task.done() for task in tries):
+                return _Check.REFUSED
             elapsed_ms = (loop.time() - started_s) * 1000
             overrun_ms = elapsed_ms - SECOND_TRY_MS - CHECK_TIMEOUT_MS
-            return (
-                None
-                if overrun_ms > MAX_OVERRUN_MS and not all_failed
-                else False
-            )
+            if overrun_ms > MAX_OVERRUN_MS:
+                return _Check.INCONCLUSIVE
+            return _Check.NO_RESPONSE
         finally:
             for task in tries:
                 task.cancel()
@@ -230,7 +243,7 @@
         """Record that a target accepts connections again."""
         if not target.health.unreachable:
             return
-        target.health.unreachable = False
+        target.health.unreachable = target.health.refusing = False
         LOG.info(
             "target reachable again",
             extra={
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -381,13 +381,16 @@
     def _may_retry(self) -> bool:
         """Return whether the request may run at one more target.
 
-        Unreachable targets don't count against the route's limit, because
-        their responses are lost, unless other routers reached them.
+        Targets that refuse connections have ended and don't count against the
+        route's limit, unless other routers reached them. One that is about to
+        stop refuses connections while it still works.
         """
         runs = sum(
             1
             for t in self._may_have_run_at
-            if not t.health.unreachable or t.target_id in self._relayed_to
+            if not t.health.refusing
+            or t.leaving
+            or t.target_id in self._relayed_to
         )
         return self._route.repeatable and runs < self._route.max_attempts
 
--- a/src/bulrushdale/routing/health.py
+++ b/src/bulrushdale/routing/health.py
@@ -50,6 +50,8 @@
     :param clock: the clock.
 
     :ivar unreachable: whether the last connection could not be opened.
+    :ivar refusing: whether it was refused. Where there is no response at all,
+        the fault may be this router's, and the target may run on.
     :ivar suspected: whether it is being probed and hasn't answered at once.
     """
 
@@ -58,6 +60,7 @@
         "_results",
         "_ejected_until_ms",
         "unreachable",
+        "refusing",
         "suspected",
     )
 
@@ -68,6 +71,7 @@
         )
         self._ejected_until_ms = 0
         self.unreachable = False
+        self.refusing = False
         self.suspected = False
 
     def record(self, failed: bool) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -682,11 +682,18 @@
     assert body == b"".join(scripted_target.event(n) for n in range(5))
 
 
-async def test_stream_resumes_after_two_targets_become_unreachable(caller):
-    """Attempts at unreachable targets don't count against the limit of two.
+@pytest.mark.parametrize(
+    ("refusing", "leaving", "requests"),
+    [(True, False, 3), (False, False, 2), (True, True, 2)],
+)
+async def test_stream_runs_at_more_targets_only_if_those_before_have_ended(
+    caller, refusing, leaving, requests
+):
+    """The route allows two.
 
-    The stream breaks off at both targets that it is sent to, before they are
-    found unreachable.
+    The stream breaks off at both targets that it is sent to. One that doesn't
+    answer connections may run on, as the fault may be the router's, and one
+    that leaves refuses them while it runs on.
     """
     async with gateway_fixtures.running_deployment(
         "t1", "t2", "t3"
@@ -695,19 +702,26 @@
         seen = []
 
         async def cut_off(request, writer):
-            if len(seen) == 2:
-                return await gateway_fixtures.respond(request, writer)
             seen.append(request.headers["x-expect-instance"])
-            targets.require(seen[-1]).health.unreachable = True
+            if len(seen) == 3:
+                return await gateway_fixtures.respond(request, writer)
+            target = targets.require(seen[-1])
+            target.health.unreachable = True
+            target.health.refusing = refusing
+            target.leaving = leaving
             return await cut_within_event(request, writer)
 
         set_scripts(deployment, cut_off)
-        async with caller.post(
-            deployment.url("/plan/x"), headers=headers()
-        ) as response:
-            body = await response.read()
-    assert len(seen) == 2
-    assert body == b"".join(scripted_target.event(n) for n in range(5))
+        try:
+            async with caller.post(
+                deployment.url("/plan/x"), headers=headers()
+            ) as response:
+                body = await response.read()
+        except aiohttp.ClientPayloadError:
+            body = b""
+    assert len(seen) == requests
+    whole = b"".join(scripted_target.event(n) for n in range(5))
+    assert (body == whole) == (requests == 3)
 
 
 async def test_router_that_reaches_no_target_sends_callers_to_another_router(
