Share the retry slack among all routers while cut off from them

What targets would see: each of 7 routers that are cut off from each other uses the slack of the whole fleet (BUDGET).

Cause: the number of routers that share the slack is the number heard of lately, which is 1 at a router that hears nobody.

Why this works: a router that doesn't hear of most of those that it knows counts them all. Its own share is too small if they are gone for good, and never too large.

Red before: test_router_that_is_cut_off_takes_no_more_than_its_share with count() in place of fleet_size(): 1 instead of 7.

--- a/src/bulrushdale/forwarding/gauges.py
+++ b/src/bulrushdale/forwarding/gauges.py
@@ -69,7 +69,7 @@
 
     def retries_left() -> dict[str, float]:
         return {
-            name: budget.remaining(name, peers.count())
+            name: budget.remaining(name, peers.fleet_size())
             for name in service_names()
         }
 
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -401,7 +401,7 @@
         """
         if not self._retry_reserved:
             self._retry_reserved = self._context.budget.spend(
-                self._service, self._context.peers.count()
+                self._service, self._context.peers.fleet_size()
             )
         return self._retry_reserved
 
--- a/src/bulrushdale/routing/peers.py
+++ b/src/bulrushdale/routing/peers.py
@@ -710,6 +710,16 @@
             return max(count, 1 + len(self._peers))
         return count
 
+    def fleet_size(self) -> int:
+        """Return the number of routers that share an allowance.
+
+        A router that is cut off can't tell which of the others are live, so
+        all that it knows count.
+        """
+        if self.hears_most():
+            return self.count()
+        return max(self.count(), 1 + len(self._peers))
+
     def hears_most(self) -> bool:
         """Return whether this router hears of most routers, itself included.
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -53,6 +53,20 @@
     assert peers.count() == 2
 
 
+def test_router_that_is_cut_off_takes_no_more_than_its_share(peers, clock):
+    # It heard of no other router and took the allowance of the whole fleet.
+    addresses = [f"10.0.0.{number}:7" for number in range(2, 8)]
+    for address in addresses:
+        peers.receive(make_report(address))
+    assert peers.fleet_size() == 7
+    clock.advance(2 * peers_module.MEMBER_TTL_MS)
+    assert peers.count() == 1
+    assert peers.fleet_size() == 7
+    for address in addresses[:4]:
+        peers.receive(make_report(address, sequence=2))
+    assert peers.fleet_size() == 5
+
+
 def test_load_of_peer_without_recent_report_is_ignored(peers, clock):
     """The peer itself counts as live until ``MEMBER_TTL_MS``."""
     peers.receive(make_report("10.0.0.2:7", 1, 5))
