Save the streams that routers tell each other, for the loss of all

After a loss of all routers a stream that began at another version than its id tells went on at the version that the id tells (ORDER): test_no_stream_is_joined_after_the_loss_of_all_routers, red before with one and with two routers that start, "v2-0, v2-1, v1-2 ..".

Cause: the exceptions were with the routers only, and a router that starts alone takes missing news for none.

A router that starts reads them if no other one says that it knows what was told before its own start. Take-ups wait for that or are refused, unless one version has served alone.

A report repeated no longer counts as learned anew, so that a stream is kept for two minutes from when it was told first, and its record changes only with new streams.

Open: streams of the last second before the loss of all routers.

--- a/src/bulrushdale/forwarding/stream_sync.py
+++ b/src/bulrushdale/forwarding/stream_sync.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+from collections import abc
+import dataclasses
 import logging
 import random
 import typing
@@ -14,7 +16,6 @@
 import aiohttp
 import orjson
 
-from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import connections
 from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import versions
@@ -35,23 +36,36 @@
 MAX_HASH = 2**64 - 1
 
 
-def encode_page(streams: list[versions.KnownStream]) -> bytes:
-    """Encode the streams that a router knows."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """What a router knows.
+
+    :param streams: the streams that it was told of.
+    :param complete: whether it knows those from before its start as well.
+    """
+
+    streams: list[versions.KnownStream]
+    complete: bool
+
+
+def encode_page(page: Page) -> bytes:
+    """Encode what a router knows."""
     return zlib.compress(
         orjson.dumps(
             {
                 "streams": [
                     [stream.stream_hash, stream.version, stream.age_ms]
-                    for stream in streams
-                ]
+                    for stream in page.streams
+                ],
+                "complete": page.complete,
             }
         ),
         zlib.Z_BEST_SPEED,
     )
 
 
-def decode_page(body: bytes) -> list[versions.KnownStream]:
-    """Decode the streams that another router knows.
+def decode_page(body: bytes) -> Page:
+    """Decode what another router knows.
 
     :raises ValueError: if the page is invalid.
     """
@@ -59,7 +73,10 @@
         data = orjson.loads(
             zlib.decompressobj().decompress(body, MAX_STREAMS_BYTES)
         )
-        return [decode_stream(*fields) for fields in data["streams"]]
+        return Page(
+            [decode_stream(*fields) for fields in data["streams"]],
+            data["complete"] is True,
+        )
     except (TypeError, LookupError, zlib.error) as error:
         raise ValueError(repr(error)) from error
 
@@ -88,32 +105,34 @@
     :param streams: the versions of streams that this router knows.
     :param peers: the other routers.
     :param session: the HTTP session to other routers.
-    :param clock: the clock.
+    :param read_saved: reads the streams that are saved.
 
-    :ivar done: set once the other routers were asked.
+    :ivar done: set once this router knows what was told before its start.
     """
 
-    __slots__ = ("done", "_streams", "_peers", "_session", "_clock")
+    __slots__ = ("done", "_streams", "_peers", "_session", "_read_saved")
 
     def __init__(
         self,
         streams: versions.StreamVersions,
         peers: peers_module.Peers,
         session: aiohttp.ClientSession,
-        clock: clock_module.Clock,
+        read_saved: abc.Callable[
+            [], abc.Awaitable[list[versions.KnownStream]]
+        ],
     ) -> None:
         self.done = asyncio.Event()
         self._streams = streams
         self._peers = peers
         self._session = session
-        self._clock = clock
+        self._read_saved = read_saved
 
     def page(self) -> bytes:
         """Return the page for other routers."""
-        return encode_page(self._streams.known())
+        return encode_page(Page(self._streams.known(), self.done.is_set()))
 
     async def run(self, discovered: asyncio.Event) -> None:
-        """Ask the other routers once.
+        """Ask the other routers once, and the store if none of them knows.
 
         What they are told from then on, they tell this router as well.
 
@@ -124,13 +143,17 @@
         pages = await asyncio.gather(*map(self._read, asked))
         answered = [page for page in pages if page is not None]
         for page in answered:
-            self._streams.restore(page)
+            self._streams.restore(page.streams)
+        from_store = not any(page.complete for page in answered)
+        if from_store:
+            self._streams.restore(await self._read_saved())
         LOG.info(
-            "versions of streams read from other routers",
+            "versions of streams restored",
             extra={
                 "event": "link.streams",
                 "asked": len(asked),
                 "answered": len(answered),
+                "from_store": from_store,
                 "streams": len(self._streams.known()),
             },
         )
@@ -144,7 +167,7 @@
         sources = [*live, *others]
         return sources if self._peers.full_mesh else sources[:MAX_ASKED]
 
-    async def _read(self, address: str) -> list[versions.KnownStream] | None:
+    async def _read(self, address: str) -> Page | None:
         """Read the page of a router; return none without a valid one.
 
         Routers of earlier versions have no such page.
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -37,6 +37,7 @@
 from bulrushdale.platform import quarantine_store
 from bulrushdale.platform import registry
 from bulrushdale.platform import store as store_module
+from bulrushdale.platform import stream_store as stream_store_module
 from bulrushdale.platform import version_store as version_store_module
 from bulrushdale.routing import budget as budget_module
 from bulrushdale.routing import crash_evidence
@@ -228,8 +229,14 @@
         self._version_store = version_store_module.VersionStore(
             self._store, self._version_history, clock
         )
+        self._stream_store = stream_store_module.StreamStore(
+            self._store, self._stream_versions, clock
+        )
         self._stream_sync = stream_sync_module.StreamSync(
-            self._stream_versions, self._peers, internal_session, clock
+            self._stream_versions,
+            self._peers,
+            internal_session,
+            self._stream_store.read,
         )
         self._peer_transport.pages[stream_sync_module.PAGE] = (
             self._stream_sync.page
@@ -431,6 +438,7 @@
             self._keep_quarantines(),
             self._version_store.run(self._saves_versions),
             self._stream_sync.run(self._discovery_attempted),
+            self._stream_store.run(self._saves_versions),
             self._run_every(
                 peers_module.REPORT_INTERVAL_MS, self._send_report
             ),
--- a/src/bulrushdale/platform/store.py
+++ b/src/bulrushdale/platform/store.py
@@ -45,6 +45,8 @@
 QUARANTINE_TOPIC = "keyed.quarantine"
 # Also the project's own: which software versions served lately, by service.
 VERSIONS_TOPIC = "keyed.versions"
+# Also the project's own: versions of streams that don't follow from their ids.
+STREAMS_TOPIC = "keyed.streams"
 
 _ERA_HEADER = "Store-Era"
 
--- a/src/bulrushdale/routing/versions.py
+++ b/src/bulrushdale/routing/versions.py
@@ -277,10 +277,16 @@
         """
         now_ms = self._clock.now_ms()
         for stream_hash, version in streams.items():
-            self._streams[stream_hash] = (version, now_ms)
-            self._streams.move_to_end(stream_hash)
+            if self._streams.get(stream_hash, ("", 0))[0] != version:
+                self._streams[stream_hash] = (version, now_ms)
+                self._streams.move_to_end(stream_hash)
         self._expire()
 
+    @property
+    def latest(self) -> int | None:
+        """Hash of the stream that was learned last; none if none is known."""
+        return next(reversed(self._streams), None)
+
     def restore(self, streams: abc.Iterable[KnownStream]) -> None:
         """Record streams that another router knows.
 
--- a/tests/test_restarted_routers.py
+++ b/tests/test_restarted_routers.py
@@ -3,12 +3,17 @@
 import asyncio
 import zlib
 
+import aiohttp
+from aiohttp import test_utils
 import orjson
 import pytest
 
 from bulrushdale.forwarding import stream_sync
 from bulrushdale import hashing
+from bulrushdale.platform import store as store_module
+from bulrushdale.platform import stream_store
 from bulrushdale.routing import versions
+from examples.standins import store as store_standin
 from tests import gateway_fixtures
 from tests import test_software_versions
 
@@ -95,6 +100,50 @@
     assert await take_up_all(fleet, begun, router=1) == STREAMS
 
 
+@pytest.mark.parametrize("started", [1, 2])
+async def test_no_stream_is_joined_after_the_loss_of_all_routers(
+    fleet, started
+):
+    # Only the routers knew of the streams that began at another version.
+    begun = await begin_streams(fleet)
+    await asyncio.sleep(stream_store.MIN_WRITE_INTERVAL_MS / 1000 + 0.5)
+    await fleet.stop_routers()
+    await asyncio.gather(
+        *(fleet.add_router(f"new{number}") for number in range(started))
+    )
+    assert await take_up_all(fleet, begun, router=started - 1) == STREAMS
+
+
+async def test_take_ups_are_refused_until_the_saved_streams_are_read(fleet):
+    # A router trusted the computed version though the store gave it nothing.
+    begun = await begin_streams(fleet)
+    await asyncio.sleep(stream_store.MIN_WRITE_INTERVAL_MS / 1000 + 0.5)
+    await fleet.stop_routers()
+    await fleet.add_router("new")
+    (router,) = fleet.deployment.routers
+    router._stream_sync.done.clear()
+    router._stream_versions._streams.clear()
+    assert await take_up_all(fleet, begun, router=0) == 0
+
+
+@pytest.mark.parametrize(
+    "value", [b"{", b"[1]", b'[[1,"v1","x"]]', b"[[1,2,3]]", b'[["a","b",1]]']
+)
+async def test_invalid_saved_streams_are_skipped(clock, value):
+    store = store_standin.Store()
+    await store.put("keyed.streams", "latest", value)
+    async with (
+        test_utils.TestServer(store.app()) as server,
+        aiohttp.ClientSession() as session,
+    ):
+        saved = stream_store.StreamStore(
+            store_module.Store(session, str(server.make_url(""))),
+            versions.StreamVersions(clock),
+            clock,
+        )
+        assert await saved.read() == []
+
+
 def test_streams_of_another_router_keep_their_age_and_expire(clock):
     known = versions.StreamVersions(clock)
     known.record("own", "v1")
@@ -123,8 +172,8 @@
 
 def test_page_of_streams_is_read_as_it_was_written():
     streams = [versions.KnownStream(2**64 - 1, "v1", 5)]
-    page = stream_sync.encode_page(streams)
-    assert stream_sync.decode_page(page) == streams
+    page = stream_sync.Page(streams, True)
+    assert stream_sync.decode_page(stream_sync.encode_page(page)) == page
 
 
 @pytest.mark.parametrize(
