Ask for streams again after hearing no other router for 2 s

A router that stood still, or was cut off, while streams began at another version than their ids tell goes on with them at the version that the ids tell (ORDER).

Cause: such a stream is told for 2 s. Who hears nothing for longer has missed it, and takes missing news for none, as a router that starts does.

Why this works: the first report after such a gap makes the router ask again, as at its start; take-ups wait for the answer. The gap is measured with the boot clock, which counts suspension.

Red before: test_router_that_stood_still_joins_no_stream_that_it_missed, "v2-0, v2-1, v1-2 ..".

--- a/src/bulrushdale/forwarding/stream_sync.py
+++ b/src/bulrushdale/forwarding/stream_sync.py
@@ -1,8 +1,8 @@
 """Asks other routers for the versions of streams that they told before.
 
 Routers tell each other of a stream whose version doesn't follow from its id
-when it begins. A router that starts later has missed that, and would take the
-version that follows for the right one.
+when it begins. A router that starts later, or that stood still, has missed
+that, and would take the version that follows for the right one.
 """
 
 import asyncio
@@ -16,6 +16,7 @@
 import aiohttp
 import orjson
 
+from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import connections
 from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import versions
@@ -106,11 +107,21 @@
     :param peers: the other routers.
     :param session: the HTTP session to other routers.
     :param read_saved: reads the streams that are saved.
+    :param clock: the clock.
 
-    :ivar done: set once this router knows what was told before its start.
+    :ivar done: set while this router knows what the others have told so far.
     """
 
-    __slots__ = ("done", "_streams", "_peers", "_session", "_read_saved")
+    __slots__ = (
+        "done",
+        "_streams",
+        "_peers",
+        "_session",
+        "_read_saved",
+        "_clock",
+        "_heard_ms",
+        "_wanted",
+    )
 
     def __init__(
         self,
@@ -120,25 +131,50 @@
         read_saved: abc.Callable[
             [], abc.Awaitable[list[versions.KnownStream]]
         ],
+        clock: clock_module.Clock,
     ) -> None:
         self.done = asyncio.Event()
         self._streams = streams
         self._peers = peers
         self._session = session
         self._read_saved = read_saved
+        self._clock = clock
+        # When the last report arrived, in ms of the boot clock.
+        self._heard_ms = clock.boot_ms()
+        self._wanted = asyncio.Event()
+        self._wanted.set()
 
     def page(self) -> bytes:
         """Return the page for other routers."""
         return encode_page(Page(self._streams.known(), self.done.is_set()))
 
-    async def run(self, discovered: asyncio.Event) -> None:
-        """Ask the other routers once, and the store if none of them knows.
+    def record_report(self) -> None:
+        """Record that another router's report has arrived.
 
-        What they are told from then on, they tell this router as well.
+        If there was none for some time, as this router stood still or was cut
+        off, it has missed what the others told meanwhile.
+        """
+        now_ms = self._clock.boot_ms()
+        if now_ms - self._heard_ms > versions.REPORTED_FOR_MS:
+            self.done.clear()
+            self._wanted.set()
+        self._heard_ms = now_ms
+
+    async def run(self, discovered: asyncio.Event) -> None:
+        """Ask what was told before, at the start and when it was missed.
 
         :param discovered: set once the other routers may be known.
         """
         await discovered.wait()
+        while True:
+            await self._wanted.wait()
+            self._wanted.clear()
+            await self._ask()
+            if not self._wanted.is_set():
+                self.done.set()
+
+    async def _ask(self) -> None:
+        """Ask the other routers, and the store if none of them knows."""
         asked = self._sources()
         pages = await asyncio.gather(*map(self._read, asked))
         answered = [page for page in pages if page is not None]
@@ -157,7 +193,6 @@
                 "streams": len(self._streams.known()),
             },
         )
-        self.done.set()
 
     def _sources(self) -> list[str]:
         """Return the routers to ask, those first that have reported."""
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -237,6 +237,7 @@
             self._peers,
             internal_session,
             self._stream_store.read,
+            clock,
         )
         self._peer_transport.pages[stream_sync_module.PAGE] = (
             self._stream_sync.page
@@ -346,6 +347,7 @@
         self._targets.merge_leaving(report.leaving)
         for limit in report.limits:
             self._targets.merge_limit(limit)
+        self._stream_sync.record_report()
         self._stream_versions.merge(report.streams)
         for crash in report.crashes:
             self._crash_evidence.record(crash)
--- a/tests/test_restarted_routers.py
+++ b/tests/test_restarted_routers.py
@@ -12,6 +12,7 @@
 from bulrushdale import hashing
 from bulrushdale.platform import store as store_module
 from bulrushdale.platform import stream_store
+from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import versions
 from examples.standins import store as store_standin
 from tests import gateway_fixtures
@@ -87,6 +88,28 @@
     assert await take_up_all(fleet, begun, router=1) == STREAMS
 
 
+async def test_router_that_stood_still_joins_no_stream_that_it_missed(
+    fleet, monkeypatch
+):
+    # What was told while it stood still is not told again.
+    await fleet.add_router("r2")
+    await asyncio.sleep(test_software_versions.SETTLED_AFTER_S)
+    second = fleet.deployment.routers[1]
+    receive = peers_module.Peers.receive
+    still = True
+    monkeypatch.setattr(
+        peers_module.Peers,
+        "receive",
+        lambda peers, report: (
+            not (still and peers is second._peers) and receive(peers, report)
+        ),
+    )
+    begun = await begin_streams(fleet)
+    await asyncio.sleep(versions.REPORTED_FOR_MS / 1000 + 0.5)
+    still = False
+    assert await take_up_all(fleet, begun, router=1) == STREAMS
+
+
 async def test_router_that_starts_beside_an_earlier_version_goes_on(fleet):
     # Routers of earlier versions have no page to ask.
     fleet.deployment.routers[0]._peer_transport.pages.clear()
