Let a drain go on at a further SIGTERM

Cause: the service library handles the signal anew each time and stops the event loop after the second stop, which finds nothing left to do.

Why this works: once the drain begins, SIGTERM and SIGINT are logged only. The drain has its own time limit.

--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -7,6 +7,7 @@
 import logging
 import signal
 import socket
+import types
 
 from aiohttp import web
 import aiomisc
@@ -83,6 +84,8 @@
     load_settings: abc.Callable[[], settings_module.Settings]
     # The bound sockets, by the names of their port settings.
     sockets: abc.Mapping[str, socket.socket]
+    # Called when the drain begins.
+    on_drain: abc.Callable[[], None] = staticmethod(lambda: None)
 
     async def start(self) -> None:
         """Serve the ports and start the background tasks."""
@@ -598,6 +601,7 @@
 
         :param exception: why the router stops, unless on a signal.
         """
+        self.on_drain()
         LOG.info(
             "router draining",
             extra={
@@ -636,6 +640,22 @@
     return value
 
 
+def _ignore_stop_signals() -> None:
+    """Let a drain go on when the router is told to stop once more."""
+
+    def log(number: int, _: types.FrameType | None) -> None:
+        LOG.info(
+            "router already draining",
+            extra={
+                "event": "router.draining_already",
+                "signal": signal.Signals(number).name,
+            },
+        )
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, log)
+
+
 def run(
     settings: settings_module.Settings,
     load_settings: abc.Callable[[], settings_module.Settings],
@@ -650,7 +670,10 @@
     logs.configure(settings.router)
     with aiomisc.entrypoint(
         Gateway(
-            settings=settings, load_settings=load_settings, sockets=sockets
+            settings=settings,
+            load_settings=load_settings,
+            sockets=sockets,
+            on_drain=_ignore_stop_signals,
         ),
         log_config=False,
         pool_size=2,
