Ignore SIGHUP while the modules of a router are loaded

Cause: its handler is installed once the modules are loaded; until then the signal has its default action, which ends the process.

Why this works: the signal is ignored from the main function on, and the settings are read once more when the handler is in place.

--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -114,6 +114,8 @@
         )
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        # They may have changed while the modules were loaded.
+        self._reload()
         LOG.info("router started", extra={"event": "router.started"})
 
     def _reload(self) -> None:
--- a/src/bulrushdale/start.py
+++ b/src/bulrushdale/start.py
@@ -11,6 +11,7 @@
 import gc
 import importlib
 import logging
+import signal
 import sys
 
 from bulrushdale.forwarding import ports as ports_module
@@ -23,6 +24,9 @@
 def main() -> None:
     """Run a router with the settings provided by the platform."""
     gc.disable()
+    # By default the signal that the settings have changed would end the
+    # process. The router reads them again once it has started.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         settings = platform_settings.load_from_environment()
     except settings_error.SettingsError as error:
--- a/tests/router_processes.py
+++ b/tests/router_processes.py
@@ -59,6 +59,17 @@
             while not await self._is_ready():  # noqa: ASYNC110
                 await asyncio.sleep(0.05)
 
+    async def listens(self):
+        """Return whether the process accepts connections of callers."""
+        try:
+            _, writer = await asyncio.open_connection(
+                self.ip, settings_file.CALLER_PORT
+            )
+        except OSError:
+            return False
+        writer.close()
+        return True
+
     async def _is_ready(self):
         try:
             reader, writer = await asyncio.open_connection(
