Pass compressed bodies of requests on as they were sent

Cause: the HTTP library decompresses bodies of requests by default.

Why this works: the router's servers leave bodies as they are; the limit on their size counts the bytes that were sent.

Red before: test_compressed_body_reaches_its_target_as_it_was_sent.

--- a/src/bulrushdale/forwarding/servers.py
+++ b/src/bulrushdale/forwarding/servers.py
@@ -27,6 +27,8 @@
         handler_cancellation=True,
         access_log=None,
         keepalive_timeout=CALLER_KEEPALIVE_S,
+        # Targets get the bytes that callers send.
+        auto_decompress=False,
         max_line_size=connections.MAX_FIELD_BYTES,
         max_field_size=connections.MAX_FIELD_BYTES,
     )
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import gzip
 import os
 import signal
 import socket
@@ -724,6 +725,22 @@
     assert (body == whole) == (requests == 3)
 
 
+async def test_compressed_body_reaches_its_target_as_it_was_sent(
+    deployment, caller
+):
+    # The HTTP library decompressed it and left its Content-Encoding.
+    body = gzip.compress(b"a loaf " * 100)
+    async with caller.post(
+        deployment.url("/order/x"),
+        headers=headers(Content_Encoding="gzip"),
+        data=body,
+    ) as response:
+        assert response.status == 200
+    (received,) = received_requests(deployment, "/order/")
+    assert received.body == body
+    assert received.headers["content-encoding"] == "gzip"
+
+
 async def test_router_that_reaches_no_target_sends_callers_to_another_router(
     deployment, caller
 ):
