Close a response whose caller leaves while it is read

Cause: read_body closed the response after a time-out or a broken connection, but not when it was cancelled.

Why this works: a cancelled read closes the response, which resets its connection. Streams and answers above 1 MB did so already.

--- a/src/bulrushdale/forwarding/attempt.py
+++ b/src/bulrushdale/forwarding/attempt.py
@@ -1,5 +1,6 @@
 """A single attempt to send a request to a target."""
 
+import asyncio
 import contextlib
 import dataclasses
 import typing
@@ -224,6 +225,10 @@
                 body += data
                 if len(body) > MAX_BUFFERED_BYTES:
                     return Oversized(bytes(body))
+    except asyncio.CancelledError:
+        # Unread, it would keep its connection and buffers.
+        opened.response.close()
+        raise
     except TimeoutError:
         problem = OutcomeUnknown("timed out reading the body")
     except _CONNECTION_ERRORS as error:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -725,6 +725,31 @@
     assert (body == whole) == (requests == 3)
 
 
+@pytest.mark.parametrize("path", ["/lookup/x", "/order/x", "/plan/x"])
+async def test_caller_that_leaves_during_an_answer_ends_it_at_its_target(
+    deployment, caller, path
+):
+    # The router kept the connection, and the target worked to the end.
+    begun = asyncio.Event()
+
+    async def respond_slowly(request, writer):
+        head = scripted_target.response(request, body=bytes(900_000))
+        writer.write(head[:400_000])
+        await writer.drain()
+        begun.set()
+        await asyncio.sleep(30)
+
+    set_scripts(deployment, respond_slowly)
+    waiting = asyncio.create_task(
+        caller.post(deployment.url(path), headers=headers())
+    )
+    await begun.wait()
+    await asyncio.sleep(0.1)
+    waiting.cancel()
+    await asyncio.sleep(0.4)
+    assert [t.closed for t in deployment.targets if t.received] == [["q1"]]
+
+
 async def test_compressed_body_reaches_its_target_as_it_was_sent(
     deployment, caller
 ):
