--- a/examples/standins/scripted_target.py
+++ b/examples/standins/scripted_target.py
@@ -98,9 +98,13 @@
         self._server: asyncio.Server | None = None
         self.address = ""
 
-    async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
+    async def start(
+        self, host: str = "127.0.0.1", port: int = 0, backlog: int = 100
+    ) -> None:
         """Listen on a port, or on a free one."""
-        self._server = await asyncio.start_server(self._serve, host, port)
+        self._server = await asyncio.start_server(
+            self._serve, host, port, backlog=backlog
+        )
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{host}:{port}"
 
--- a/tests/streaming_target.py
+++ b/tests/streaming_target.py
@@ -11,6 +11,8 @@
 
 EVENTS = 20
 INTERVAL_S = 0.05
+# Connections that wait to be accepted.
+BACKLOG = 8
 
 
 def _head(request: scripted_target.ReceivedRequest, framing: str) -> bytes:
@@ -40,7 +42,7 @@
         return framing == "chunked"
 
     target = scripted_target.ScriptedTarget(respond)
-    await target.start(port=port)
+    await target.start(port=port, backlog=BACKLOG)
     await asyncio.Event().wait()
 
 
