Ask for missed streams at a take-up as well, before the first report

The gap is now looked for at a take-up too; the test takes up before and after the first report. test_take_ups_are_refused cleared what the start had not finished yet; it waits for that now, and its check is the same.

--- a/src/bulrushdale/forwarding/context.py
+++ b/src/bulrushdale/forwarding/context.py
@@ -78,6 +78,8 @@
         this router started.
     :ivar streams_synced: set once other routers were asked for the streams
         that they told before this router started.
+    :ivar check_streams: asks the others again if this router has missed what
+        they told.
     :ivar targets_are_current: returns whether no router knew targets that
         this one doesn't at a time, in ms of the boot clock.
     """
@@ -107,6 +109,7 @@
         "stream_versions",
         "versions_restored",
         "streams_synced",
+        "check_streams",
         "targets_are_current",
     )
 
@@ -136,6 +139,7 @@
         stream_versions: versions.StreamVersions,
         versions_restored: asyncio.Event,
         streams_synced: asyncio.Event,
+        check_streams: typing.Callable[[], None],
         targets_are_current: abc.Callable[[int], bool],
     ) -> None:
         self.clock = clock
@@ -162,4 +166,5 @@
         self.stream_versions = stream_versions
         self.versions_restored = versions_restored
         self.streams_synced = streams_synced
+        self.check_streams = check_streams
         self.targets_are_current = targets_are_current
--- a/src/bulrushdale/forwarding/stream_sync.py
+++ b/src/bulrushdale/forwarding/stream_sync.py
@@ -149,16 +149,21 @@
         return encode_page(Page(self._streams.known(), self.done.is_set()))
 
     def record_report(self) -> None:
-        """Record that another router's report has arrived.
+        """Record that another router's report has arrived."""
+        self.check()
+        self._heard_ms = self._clock.boot_ms()
 
-        If there was none for some time, as this router stood still or was cut
-        off, it has missed what the others told meanwhile.
+    def check(self) -> None:
+        """Ask again if no report has arrived for some time.
+
+        This router may have stood still or been cut off, and then has missed
+        what the others told meanwhile.
         """
         now_ms = self._clock.boot_ms()
         if now_ms - self._heard_ms > versions.REPORTED_FOR_MS:
             self.done.clear()
             self._wanted.set()
-        self._heard_ms = now_ms
+            self._heard_ms = now_ms
 
     async def run(self, discovered: asyncio.Event) -> None:
         """Ask what was told before, at the start and when it was missed.
--- a/src/bulrushdale/forwarding/stream_version.py
+++ b/src/bulrushdale/forwarding/stream_version.py
@@ -121,6 +121,7 @@
         known = self._context.stream_versions.get(self._stream_id)
         if known is None:
             await self._wait_briefly(self._context.versions_restored)
+            self._context.check_streams()
             await self._wait_briefly(self._context.streams_synced)
         is_current = known is not None or await self._wait_until_current()
         self._composition()
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -311,6 +311,7 @@
             stream_versions=self._stream_versions,
             versions_restored=self._version_store.restored,
             streams_synced=self._stream_sync.done,
+            check_streams=self._stream_sync.check,
             targets_are_current=self._targets_are_current,
         )
         self._tunnel_server = tunnel_server.TunnelServer(
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -145,6 +145,7 @@
         stream_versions=versions.StreamVersions(clock),
         versions_restored=asyncio.Event(),
         streams_synced=asyncio.Event(),
+        check_streams=lambda: None,
         targets_are_current=lambda as_of_ms: True,
     )
     inbound = emulator.make_request("q1")
--- a/tests/test_restarted_routers.py
+++ b/tests/test_restarted_routers.py
@@ -106,6 +106,8 @@
     )
     begun = await begin_streams(fleet)
     await asyncio.sleep(versions.REPORTED_FOR_MS / 1000 + 0.5)
+    # It may go on before the first report arrives.
+    assert await take_up_all(fleet, begun, router=1) == STREAMS
     still = False
     assert await take_up_all(fleet, begun, router=1) == STREAMS
 
@@ -144,6 +146,9 @@
     await fleet.stop_routers()
     await fleet.add_router("new")
     (router,) = fleet.deployment.routers
+    async with asyncio.timeout(5):
+        await router._stream_sync.done.wait()
+    router._context.check_streams = lambda: None
     router._stream_sync.done.clear()
     router._stream_versions._streams.clear()
     assert await take_up_all(fleet, begun, router=0) == 0
