Count and log the retries of each service, and the budget of a new process

No metric or log line told what the routers of a fleet had sent beyond the first try in a window: the gauge retries_left is the rest of one process, which a restart sets back. No logic changes.

--- a/src/bulrushdale/forwarding/metrics.py
+++ b/src/bulrushdale/forwarding/metrics.py
@@ -98,6 +98,7 @@
     :ivar answer_ms: time to the end of the response, in ms.
     :ivar store_reads: reads of the store by replica (the label ``feed``) and
         outcome.
+    :ivar retries: requests sent to a further target, by service.
     :ivar target_crashes: targets that crashed while they responded, by
         service.
     :ivar permits: requests for permits of targets that limit their requests,
@@ -110,6 +111,7 @@
     __slots__ = (
         "requests",
         "attempts",
+        "retries",
         "first_event_ms",
         "answer_ms",
         "store_reads",
@@ -129,6 +131,10 @@
         self.attempts = Instrument(
             "bulrushdale_attempts", "Requests to targets by outcome."
         )
+        self.retries = Instrument(
+            "bulrushdale_retries",
+            "Requests sent to a further target, by service.",
+        )
         self.first_event_ms = Instrument(
             "bulrushdale_first_event_ms",
             "Time from a request to its answer's first bytes.",
@@ -183,6 +189,7 @@
         for counter in (
             self.requests,
             self.attempts,
+            self.retries,
             self.store_reads,
             self.target_crashes,
             self.permits,
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -314,6 +314,8 @@
     def _record_choice(self, choice: selection_module.Choice) -> None:
         """Record and log that the request is now sent to a target."""
         self._retry_reserved = False
+        if self._attempts:
+            self._context.metrics.retries.record(1, {"service": self._service})
         target, copy_from = choice.target, choice.copy_from
         self._tried.add(target.target_id)
         self._request_log.log(
--- a/src/bulrushdale/routing/budget.py
+++ b/src/bulrushdale/routing/budget.py
@@ -6,15 +6,32 @@
 """
 
 import collections
+import logging
 
 from bulrushdale import clock as clock_module
 
+LOG = logging.getLogger(__name__)
+
 # Share of the allowance that a router uses. The rest covers requests that the
 # service counts in another window than the router.
 USABLE_SHARE = 0.8
 # Share of the slack that a router uses in its first window. What it sent
 # before a restart still counts at the services, and all may restart at once.
 STARTING_SLACK_SHARE = 0.25
+# A service's retries are logged at most this often.
+LOG_INTERVAL_MS = 1_000
+
+
+class _Tally:
+    """What a service's log line is about to tell."""
+
+    __slots__ = ("since_ms", "requests", "sent", "denied")
+
+    def __init__(self, since_ms: int) -> None:
+        self.since_ms = since_ms
+        self.requests = 0
+        self.sent = 0
+        self.denied = 0
 
 
 class RetryBudget:
@@ -34,6 +51,7 @@
         "_retry_times_ms",
         "_request_times_ms",
         "_started_ms",
+        "_tallies",
     )
 
     def __init__(
@@ -48,6 +66,16 @@
         self.set_limits(ratio, slack, window_ms)
         self._retry_times_ms: dict[str, collections.deque[int]] = {}
         self._request_times_ms: dict[str, collections.deque[int]] = {}
+        self._tallies: dict[str, _Tally] = {}
+        LOG.info(
+            "retry budget of a new process",
+            extra={
+                "event": "budget.started",
+                "ratio": ratio,
+                "slack": slack,
+                "window_ms": window_ms,
+            },
+        )
 
     def set_limits(self, ratio: float, slack: float, window_ms: int) -> None:
         """Change the limits; retries already sent still count."""
@@ -62,6 +90,27 @@
         )
         times_ms.append(self._clock.now_ms())
         self._expire(times_ms)
+        self._current_tally(service).requests += 1
+
+    def _current_tally(self, service: str) -> _Tally:
+        """Return the counts to add to; log the previous ones when due."""
+        now_ms = self._clock.now_ms()
+        tally = self._tallies.get(service)
+        if tally is None or now_ms - tally.since_ms >= LOG_INTERVAL_MS:
+            if tally is not None and (tally.sent or tally.denied):
+                LOG.info(
+                    "retries of a service",
+                    extra={
+                        "event": "budget.retries",
+                        "service": service,
+                        "requests": tally.requests,
+                        "sent": tally.sent,
+                        "denied": tally.denied,
+                        "period_ms": now_ms - tally.since_ms,
+                    },
+                )
+            tally = self._tallies[service] = _Tally(now_ms)
+        return tally
 
     def _expire(self, times_ms: collections.deque[int]) -> None:
         """Remove the times before the window."""
@@ -100,7 +149,10 @@
         :param routers: routers that share the slack, this one included.
         :return: whether the retry may be sent.
         """
+        tally = self._current_tally(service)
         if self.remaining(service, routers) <= 0:
+            tally.denied += 1
             return False
+        tally.sent += 1
         self._retry_times_ms[service].append(self._clock.now_ms())
         return True
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -12,8 +12,8 @@
     ROOT / "src/bulrushdale/start.py",
 ]
 EVENT = re.compile(
-    r'"((?:request|answer|configuration|prompt|target|store|link|router|log)'
-    r'\.[a-z_]+)"'
+    r'"((?:request|answer|budget|configuration|prompt|target|store|link|router'
+    r'|log)\.[a-z_]+)"'
 )
 METRIC = re.compile(r'"bulrushdale_([a-z_]+)"')
 GAUGE = re.compile(r'gauge\(\s*"([a-z_]+)"')
