Give out no part of the retry budget twice when routers start again

Callers' requests at a failing service were repeated more often than its operators allow: a router keeps what it sent and received in its own memory, so a new process spent the full ratio of each request at once while the retries of the process before it still counted. A router that was killed for good left the same gap: its callers' next requests paid again at the others. Class: a limit over a window in the memory of processes that end within the window.

Now a request earns 0.16 of a retry, once, at the router that received it, and what isn't sent within a fifth of the window is lost. So in any window at most 0.8 * 1.2 = 0.96 of the ratio is sent, whichever processes end, start or take over callers, and without a word between them. A new process has no part of the slack for a whole window, unless the platform says that the system starts for the first time (bootstrap); parts of a retry are rounded by a hash of the router's name, so that they add up in a fleet of 360.

Ruled out: a smaller ratio after each start (a loop of crashes repeats it, callers have next to no retry for ten seconds), telling the others (all may end), saving each retry in the store.

--- a/examples/platform.py
+++ b/examples/platform.py
@@ -134,6 +134,7 @@
         retry_ratio=0.2,
         retry_slack=10,
         retry_window_ms=10_000,
+        first_start=True,
     )
     router = gateway.Gateway(
         settings=settings,
--- a/src/bulrushdale/forwarding/settings.py
+++ b/src/bulrushdale/forwarding/settings.py
@@ -31,6 +31,8 @@
     :param retry_slack: additional retries that the fleet may make in each
         window.
     :param retry_window_ms: length of that window, in ms.
+    :param first_start: whether the whole system starts for the first time, so
+        that no router has run before.
     """
 
     router: str
@@ -51,6 +53,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window_ms: int
+    first_start: bool = False
 
     @property
     def ports(self) -> dict[str, int]:
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -32,6 +32,7 @@
 from bulrushdale.forwarding import stream_sync as stream_sync_module
 from bulrushdale.forwarding import tunnel_server
 from bulrushdale.forwarding import tunnels
+from bulrushdale import hashing
 from bulrushdale.platform import configuration
 from bulrushdale.platform import headers
 from bulrushdale.platform import listings
@@ -296,6 +297,8 @@
                 settings.retry_ratio,
                 settings.retry_slack,
                 settings.retry_window_ms,
+                settings.first_start,
+                hashing.fraction(settings.router),
             ),
             key_age_limit_ms=settings.key_age_limit_ms,
             draining=lambda: self._state.draining,
--- a/src/bulrushdale/platform/settings.py
+++ b/src/bulrushdale/platform/settings.py
@@ -60,6 +60,7 @@
     listen: Listen
     platform: Platform
     seeds: tuple[str, ...] = ()
+    bootstrap: bool = False
     limits: Limits = Limits()
     bounds: Bounds = Bounds()
 
@@ -99,6 +100,7 @@
         retry_ratio=bounds.retry_budget_ratio,
         retry_slack=bounds.budget_slack,
         retry_window_ms=int(bounds.budget_window_s * 1000),
+        first_start=file.bootstrap,
     )
 
 
--- a/src/bulrushdale/routing/budget.py
+++ b/src/bulrushdale/routing/budget.py
@@ -3,6 +3,16 @@
 The budget limits the retries that all routers together add to the requests of
 a service. Without it a failing service would receive the most load when it
 can handle the least.
+
+A router knows only what its own process has sent. So that no number of
+processes that end and start again can exceed the budget of a window, no part
+of it is given out twice:
+
+- Each request earns a part of a retry at the router that received it. A retry
+  that isn't sent soon is lost, so a process can't have saved up much when it
+  ends.
+- The slack is divided between the routers. A process gets its part only after
+  a whole window, because the one before it may have spent the same part.
 """
 
 import collections
@@ -12,16 +22,34 @@
 
 LOG = logging.getLogger(__name__)
 
-# Share of the allowance that a router uses. The rest covers requests that the
-# service counts in another window than the router.
+# Share of the allowance that routers use. The rest covers retries that were
+# earned just before a window, and what the service counts in another window.
 USABLE_SHARE = 0.8
-# Share of the slack that a router uses in its first window. What it sent
-# before a restart still counts at the services, and all may restart at once.
-STARTING_SLACK_SHARE = 0.25
+# An earned retry is lost after this share of the window. In any window at
+# most ``USABLE_SHARE * (1 + EARNED_TTL_SHARE)`` of the allowance is sent.
+EARNED_TTL_SHARE = 0.2
+# Integer units of a retry that requests earn, as sums of fractions drift.
+UNITS_PER_RETRY = 1_000_000
 # A service's retries are logged at most this often.
 LOG_INTERVAL_MS = 1_000
 
 
+class _Account:
+    """The retries of one service that this process may send or has sent.
+
+    :ivar units: what requests have earned towards the next retry.
+    :ivar earned_ms: when each retry that is left was earned.
+    :ivar slack_spent_ms: when each retry from the slack was sent.
+    """
+
+    __slots__ = ("units", "earned_ms", "slack_spent_ms")
+
+    def __init__(self) -> None:
+        self.units = 0
+        self.earned_ms: collections.deque[int] = collections.deque()
+        self.slack_spent_ms: collections.deque[int] = collections.deque()
+
+
 class _Tally:
     """What a service's log line is about to tell."""
 
@@ -35,22 +63,29 @@
 
 
 class RetryBudget:
-    """This router's share of the retries that services may receive.
+    """This process's part of the retries that services may receive.
 
     :param clock: the clock.
     :param ratio: retries allowed per request; from the settings.
     :param slack: additional retries per window, shared by the whole fleet.
     :param window_ms: length of the window, in ms.
+    :param first_start: whether the whole system starts for the first time.
+        Otherwise another process may have used this router's part just
+        before.
+    :param rounding: added to this router's part of the slack before it is
+        rounded down, from 0 to 1. Spread evenly over the routers, it lets the
+        parts of a large fleet, which are below 1, add up to the whole.
     """
 
     __slots__ = (
         "_clock",
-        "_ratio",
+        "_units_per_request",
         "_slack",
         "_window_ms",
-        "_retry_times_ms",
-        "_request_times_ms",
         "_started_ms",
+        "_first_start",
+        "_rounding",
+        "_accounts",
         "_tallies",
     )
 
@@ -60,12 +95,15 @@
         ratio: float,
         slack: float,
         window_ms: int,
+        first_start: bool = False,
+        rounding: float = 0.0,
     ) -> None:
         self._clock = clock
         self._started_ms = clock.now_ms()
+        self._first_start = first_start
+        self._rounding = rounding
         self.set_limits(ratio, slack, window_ms)
-        self._retry_times_ms: dict[str, collections.deque[int]] = {}
-        self._request_times_ms: dict[str, collections.deque[int]] = {}
+        self._accounts: dict[str, _Account] = {}
         self._tallies: dict[str, _Tally] = {}
         LOG.info(
             "retry budget of a new process",
@@ -74,24 +112,34 @@
                 "ratio": ratio,
                 "slack": slack,
                 "window_ms": window_ms,
+                "slack_after_ms": 0 if first_start else window_ms,
             },
         )
 
     def set_limits(self, ratio: float, slack: float, window_ms: int) -> None:
         """Change the limits; retries already sent still count."""
-        self._ratio = ratio
+        self._units_per_request = round(ratio * USABLE_SHARE * UNITS_PER_RETRY)
         self._slack = slack
         self._window_ms = window_ms
 
     def record_request(self, service: str) -> None:
         """Count a caller's request to a service."""
-        times_ms = self._request_times_ms.setdefault(
-            service, collections.deque()
-        )
-        times_ms.append(self._clock.now_ms())
-        self._expire(times_ms)
+        account = self._account(service)
+        account.units += self._units_per_request
+        while account.units >= UNITS_PER_RETRY:
+            account.units -= UNITS_PER_RETRY
+            account.earned_ms.append(self._clock.now_ms())
         self._current_tally(service).requests += 1
 
+    def _account(self, service: str) -> _Account:
+        """Return the account of a service without what has expired."""
+        account = self._accounts.setdefault(service, _Account())
+        now_ms = self._clock.now_ms()
+        earned_ttl_ms = int(self._window_ms * EARNED_TTL_SHARE)
+        _expire(account.earned_ms, now_ms - earned_ttl_ms)
+        _expire(account.slack_spent_ms, now_ms - self._window_ms)
+        return account
+
     def _current_tally(self, service: str) -> _Tally:
         """Return the counts to add to; log the previous ones when due."""
         now_ms = self._clock.now_ms()
@@ -112,35 +160,24 @@
             tally = self._tallies[service] = _Tally(now_ms)
         return tally
 
-    def _expire(self, times_ms: collections.deque[int]) -> None:
-        """Remove the times before the window."""
-        oldest_ms = self._clock.now_ms() - self._window_ms
-        while times_ms and times_ms[0] <= oldest_ms:
-            times_ms.popleft()
+    def _slack_part(self, routers: int) -> int:
+        """Return the retries of a window that the slack pays for here."""
+        age_ms = self._clock.now_ms() - self._started_ms
+        if age_ms < self._window_ms and not self._first_start:
+            return 0
+        part = self._slack * USABLE_SHARE / max(1, routers)
+        return int(part + self._rounding)
 
     def remaining(self, service: str, routers: int) -> int:
         """Return how many more retries may be sent now.
 
-        The number is negative if more retries were sent than the budget now
-        allows, as after requests have left the window, more routers share
-        the slack or the limits were lowered.
-
         :param service: name of the service.
         :param routers: routers that share the slack, this one included.
         """
-        retry_times_ms = self._retry_times_ms.setdefault(
-            service, collections.deque()
-        )
-        request_times_ms = self._request_times_ms.setdefault(
-            service, collections.deque()
-        )
-        self._expire(retry_times_ms)
-        self._expire(request_times_ms)
-        slack = self._slack / max(1, routers)
-        if self._clock.now_ms() - self._started_ms < self._window_ms:
-            slack *= STARTING_SLACK_SHARE
-        allowed = self._ratio * len(request_times_ms) + slack
-        return int(allowed * USABLE_SHARE) - len(retry_times_ms)
+        account = self._account(service)
+        # Negative after more routers share the slack, or it was lowered.
+        slack = self._slack_part(routers) - len(account.slack_spent_ms)
+        return len(account.earned_ms) + max(0, slack)
 
     def spend(self, service: str, routers: int) -> bool:
         """Count a retry if the budget allows one.
@@ -153,6 +190,17 @@
         if self.remaining(service, routers) <= 0:
             tally.denied += 1
             return False
+        account = self._accounts[service]
+        # The earned ones expire sooner.
+        if account.earned_ms:
+            account.earned_ms.popleft()
+        else:
+            account.slack_spent_ms.append(self._clock.now_ms())
         tally.sent += 1
-        self._retry_times_ms[service].append(self._clock.now_ms())
         return True
+
+
+def _expire(times_ms: collections.deque[int], oldest_ms: int) -> None:
+    """Remove the times up to a time, in ms."""
+    while times_ms and times_ms[0] <= oldest_ms:
+        times_ms.popleft()
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -36,6 +36,7 @@
         "retry_ratio": 0.2,
         "retry_slack": 50,
         "retry_window_ms": 10_000,
+        "first_start": True,
     }
     return settings_module.Settings(**{**fields, **changes})
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -122,7 +122,9 @@
             prefix_locations.PrefixLocations(clock),
             clock,
         ),
-        budget=budget_module.RetryBudget(clock, 0.2, 100, 10_000),
+        budget=budget_module.RetryBudget(
+            clock, 0.2, 100, 10_000, first_start=True
+        ),
         key_age_limit_ms=None,
         draining=lambda: False,
         stop_limit=stop_limit.StopLimit(),
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -1,12 +1,14 @@
 """Retries of a fleet whose routers end and start again within a window."""
 
 import bisect
+import random
 
 import hypothesis
 from hypothesis import strategies
 import pytest
 
 from bulrushdale import clock as clock_module
+from bulrushdale import hashing
 from bulrushdale.routing import budget as budget_module
 
 ROUTERS = 7
@@ -126,3 +128,51 @@
     fleet = Fleet(restarts, failing_from_ms)
     fleet.play()
     assert fleet.excess() <= 0
+
+
+def test_parts_of_a_large_fleet_below_one_retry_add_up_to_the_whole():
+    routers = 360
+    clock = clock_module.ManualClock(0)
+    budgets = [
+        budget_module.RetryBudget(
+            clock, RATIO, SLACK, WINDOW_MS, rounding=hashing.fraction(f"r{n}")
+        )
+        for n in range(routers)
+    ]
+    assert not any(b.remaining("chat", routers) for b in budgets)
+    clock.advance(WINDOW_MS)
+    slack = sum(budget.remaining("chat", routers) for budget in budgets)
+    assert SLACK / 2 <= slack <= SLACK
+    # Each router gets a request for this service every five seconds.
+    gap_ms = 5_000 // routers
+    requests = 10 * WINDOW_MS // gap_ms
+    generator = random.Random(1)
+    sent = 0
+    for _ in range(requests):
+        budget = generator.choice(budgets)
+        budget.record_request("lookup")
+        sent += budget.spend("lookup", routers)
+        clock.advance(gap_ms)
+    assert RATIO * requests / 2 <= sent <= RATIO * requests + 10 * SLACK
+
+
+def test_retry_that_is_not_sent_soon_is_lost(clock):
+    budget = budget_module.RetryBudget(clock, RATIO, SLACK, WINDOW_MS)
+    for _ in range(100):
+        budget.record_request("chat")
+    earned = budget.remaining("chat", ROUTERS)
+    assert earned == 100 * RATIO * budget_module.USABLE_SHARE
+    clock.advance(int(WINDOW_MS * budget_module.EARNED_TTL_SHARE))
+    assert budget.remaining("chat", ROUTERS) == 0
+
+
+def test_first_start_of_the_system_has_its_slack_at_once(clock):
+    """No process ran before that could have spent it."""
+    first, later = (
+        budget_module.RetryBudget(
+            clock, RATIO, SLACK, WINDOW_MS, first_start=first_start
+        )
+        for first_start in (True, False)
+    )
+    assert first.spend("chat", ROUTERS)
+    assert not later.spend("chat", ROUTERS)
