Count routers that fell silent among those that share an allowance

The slack of the retry budget, and in parts the rate of limited targets, is divided by the routers that a router hears of. Six seconds after a loss, or behind a cut, the others divided by fewer while what the lost ones had spent still counted, or was still being spent: after two losses the parts of eight routers added up to more than the whole. The largest size of the last 30 s now counts, longer than any window; it is kept as a sliding maximum, since the former memory forgot the second of two losses.

--- a/src/bulrushdale/routing/peers.py
+++ b/src/bulrushdale/routing/peers.py
@@ -12,6 +12,7 @@
 the load; no guarantee depends on these numbers.
 """
 
+import collections
 from collections import abc
 import dataclasses
 
@@ -61,7 +62,8 @@
 # because it has not heard of the others yet.
 GRANT_AFTER_MS = 1_000
 # The fleet was as large as this long ago. Routers that can't reach the others
-# grant only their part of a rate.
+# use only their part of a rate or of an allowance. Longer than the window of
+# any allowance.
 FLEET_SIZE_MEMORY_MS = 30_000
 # Share of a target's slots that the routers of a large fleet fill unasked.
 # Each decides by a hash whether it has one, so their sum varies.
@@ -162,8 +164,7 @@
         "_peer_load",
         "_peer_load_expires_ms",
         "_started_ms",
-        "_largest_count",
-        "_largest_count_ms",
+        "_fleet_sizes",
         "_sharing",
         "_sharing_count",
         "_sharing_expires_ms",
@@ -194,8 +195,11 @@
         # and if it is older than REPORT_INTERVAL_MS.
         self._peer_load: abc.Mapping[str, reports.TargetReport] = {}
         self._peer_load_expires_ms = 0
-        self._largest_count = 1
-        self._largest_count_ms = self._started_ms
+        # Sizes of the fleet that no later one has exceeded, with the last
+        # time of each; at most one entry for each size.
+        self._fleet_sizes: collections.deque[tuple[int, int]] = (
+            collections.deque()
+        )
         # Routers that share the slots of brittle targets, and their number;
         # found again each REPORT_INTERVAL_MS.
         self._sharing: list[str] = []
@@ -441,20 +445,26 @@
 
         In a partition each part of the fleet has grantors of its own.
         """
-        count = self._record_fleet_size()
+        largest = self._largest_fleet_size()
+        count = self.count()
         if self._clock.now_ms() - self._started_ms < GRANT_AFTER_MS:
             return 1 / max(count, 1 + len(self._peers))
-        return count / self._largest_count
+        return count / largest
+
+    def _largest_fleet_size(self) -> int:
+        """Return the largest size of the fleet in ``FLEET_SIZE_MEMORY_MS``.
 
-    def _record_fleet_size(self) -> int:
-        """Remember the largest size of the fleet; return its size now."""
+        Also records its size now.
+        """
         now_ms = self._clock.now_ms()
         count = self.count()
-        expired = now_ms - self._largest_count_ms > FLEET_SIZE_MEMORY_MS
-        if count >= self._largest_count or expired:
-            self._largest_count = count
-            self._largest_count_ms = now_ms
-        return count
+        sizes = self._fleet_sizes
+        while sizes and sizes[-1][1] <= count:
+            sizes.pop()
+        sizes.append((now_ms, count))
+        while now_ms - sizes[0][0] > FLEET_SIZE_MEMORY_MS:
+            sizes.popleft()
+        return sizes[0][1]
 
     def initial_sources(self, count: int) -> list[str]:
         """Return routers to ask for a first copy, the preferred one first.
@@ -520,7 +530,7 @@
         :param own: report of this router.
         :return: pairs of destination address and report.
         """
-        self._record_fleet_size()
+        self._largest_fleet_size()
         if self.full_mesh:
             return [(address, own) for address in self._peers]
         self._own_reported_targets = own.targets
@@ -713,12 +723,14 @@
     def fleet_size(self) -> int:
         """Return the number of routers that share an allowance.
 
-        A router that is cut off can't tell which of the others are live, so
-        all that it knows count.
+        Routers that fell silent count for ``FLEET_SIZE_MEMORY_MS``, as what
+        they used of it still does. A router that is cut off can't tell which
+        of the others are live, so all that it knows count.
         """
+        largest = self._largest_fleet_size()
         if self.hears_most():
-            return self.count()
-        return max(self.count(), 1 + len(self._peers))
+            return largest
+        return max(largest, 1 + len(self._peers))
 
     def hears_most(self) -> bool:
         """Return whether this router hears of most routers, itself included.
