Close a connection after too many responses to other requests

A faulty target that answers with empty responses to other requests, without end, had each of them parsed and logged until the deadline; in one process with such a target another caller waited 0.57 s for an answer that usually takes 10 ms. Their bodies were bounded, their number wasn't. Memory stayed bounded before.

test_connection_with_too_many_stray_responses_is_closed is red before (504 at the deadline). New cases that were green before: informational responses without end, a slow reader of an endless body, other callers beside each kind of endless data.

--- a/src/bulrushdale/forwarding/connections.py
+++ b/src/bulrushdale/forwarding/connections.py
@@ -36,6 +36,8 @@
 # Stray responses up to this size are read and discarded to keep the
 # connection. For larger ones a new connection costs less.
 MAX_STRAY_BYTES = 1 << 20
+# So are this many for one request. Usual targets send one late response.
+MAX_STRAY_RESPONSES = 8
 # Routes with long prompts list all prompt parts in one header field.
 MAX_FIELD_BYTES = 65_536
 
@@ -128,9 +130,12 @@
 
         A target may send a second response to an earlier request, which then
         arrives in place of the expected response.
+
+        :raises ClientPayloadError: if there are too many others; the
+            connection is closed.
         """
         self.awaiting_head = True
-        while True:
+        for _ in range(1 + MAX_STRAY_RESPONSES):
             message, payload = await super().read()
             response_id = message.headers.get(self.id_header)
             if response_id is None or self.expected_id in (None, response_id):
@@ -155,6 +160,10 @@
                 },
             )
             await self._discard_body(payload)
+        self.close()
+        raise aiohttp.ClientPayloadError(
+            f"over {MAX_STRAY_RESPONSES} responses to other requests"
+        )
 
     async def _discard_body(self, payload: aiohttp.StreamReader) -> None:
         """Read and discard the body of a stray response.
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import time
 
 import aiohttp
@@ -106,6 +107,15 @@
     "after_a_response": (complete_response, BLOCK),
     "stray_response": (stray_head, scripted_target.chunk(BLOCK)),
     "event": (scripted_target.stream_head, scripted_target.chunk(BLOCK)),
+    "informational_responses": (
+        lambda _: b"",
+        b"HTTP/1.1 100 Continue\r\n\r\n" * 2_500,
+    ),
+    "empty_stray_responses": (
+        lambda _: b"",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Request-Id: another\r\n"
+        b"\r\n" * 1_000,
+    ),
 }
 
 
@@ -140,6 +150,78 @@
         await closed.wait()
 
 
+@pytest.mark.parametrize("name", ENDLESS)
+async def test_other_callers_are_served_beside_endless_data(deployment, name):
+    closed = asyncio.Event()
+    endless = endless_script(*ENDLESS[name], closed)
+
+    async def script(request, writer):
+        if "/order/" in request.line:
+            return await endless(request, writer)
+        return await gateway_fixtures.respond(request, writer)
+
+    deployment.targets[0].script = script
+    async with aiohttp.ClientSession() as caller:
+
+        async def order():
+            with contextlib.suppress(aiohttp.ClientError):
+                async with caller.post(
+                    deployment.url("/order/x"), headers=headers()
+                ) as response:
+                    await response.read()
+
+        endless_order = asyncio.create_task(order())
+        for number in range(10):
+            async with caller.post(
+                deployment.url("/plan/x"),
+                headers={**headers(), "X-Request-Id": f"other{number}"},
+            ) as response:
+                assert response.status == 200
+                assert (await response.read()).count(b"id:") == 5
+        await endless_order
+
+
+async def test_connection_with_too_many_stray_responses_is_closed(
+    deployment, caplog
+):
+    """The router parsed and logged them until the deadline."""
+    closed = asyncio.Event()
+    deployment.targets[0].script = endless_script(
+        *ENDLESS["empty_stray_responses"], closed
+    )
+    async with (
+        aiohttp.ClientSession() as caller,
+        caller.post(deployment.url("/order/x"), headers=headers()) as response,
+    ):
+        assert response.status == 502
+    strays = [
+        record
+        for record in caplog.records
+        if getattr(record, "event", "") == "answer.stray"
+    ]
+    assert len(strays) <= 1 + connections.MAX_STRAY_RESPONSES
+    assert closed.is_set()
+
+
+async def test_endless_body_waits_for_a_caller_who_reads_slowly(deployment):
+    closed = asyncio.Event()
+    deployment.targets[0].script = endless_script(
+        *ENDLESS["body_in_chunks"], closed
+    )
+    rss_before = psutil.Process().memory_info().rss
+    async with aiohttp.ClientSession() as caller:
+        with contextlib.suppress(aiohttp.ClientError):
+            async with caller.post(
+                deployment.url("/order/x"), headers=headers()
+            ) as response:
+                async for _ in response.content.iter_chunked(1_000):
+                    await asyncio.sleep(0.05)
+    growth_bytes = psutil.Process().memory_info().rss - rss_before
+    assert growth_bytes < MAX_MEMORY_GROWTH_BYTES
+    async with asyncio.timeout(1):
+        await closed.wait()
+
+
 async def test_large_response_is_relayed_completely(deployment):
     body = bytes(range(256)) * (attempt.MAX_BUFFERED_BYTES // 64)
 
