Bound the responses of targets and of the list of VMs

A service that sent a body without end was read into memory until the call's time was up (30 s by default), as were a target's load report (1 s) and the list of VMs. They are now read up to a limit; the request counts as run and unanswered, as after a broken connection.

--- a/src/bulrushdale/fleet/targets.py
+++ b/src/bulrushdale/fleet/targets.py
@@ -9,6 +9,7 @@
 from bulrushdale.catalogue import entries
 from bulrushdale.catalogue import view as view_module
 from bulrushdale import clock as clock_module
+from bulrushdale.forwarding import connections
 from bulrushdale import hashing
 from bulrushdale.platform import vms
 
@@ -16,6 +17,7 @@
 
 PROBE_INTERVAL_MS = 1_000
 PROBE_TIMEOUT_MS = 1_000
+MAX_LOAD_REPORT_BYTES = 65_536
 SLOW_START_MS = 5_000
 # If a larger share of a pool's targets is missing from the VM list, the
 # list is assumed to be wrong and no target counts as missing.
@@ -239,7 +241,9 @@
         async with session.get(
             f"{target.url}/load", timeout=timeout
         ) as response:
-            body = await response.read()
+            body = await connections.read_bounded(
+                response, MAX_LOAD_REPORT_BYTES
+            )
             report = orjson.loads(body)
             targets.record_probe(
                 target, int(report["running"]), bool(report["leaving"])
--- a/src/bulrushdale/platform/vms.py
+++ b/src/bulrushdale/platform/vms.py
@@ -7,11 +7,14 @@
 import aiohttp
 import orjson
 
+from bulrushdale.forwarding import connections
 from bulrushdale.platform import addresses
 
 LOG = logging.getLogger(__name__)
 
 MAX_NAME_CHARS = 256
+# The list of 2,400 VMs has under 1 MB.
+MAX_LIST_BYTES = 8 << 20
 # Versions are passed on to other routers as 64-bit integers.
 MAX_VERSION = 2**63 - 1
 _ROLE_ROUTER = "router"
@@ -72,7 +75,9 @@
             self._url, timeout=self._timeout
         ) as response:
             response.raise_for_status()
-            return _decode(await response.read())
+            return _decode(
+                await connections.read_bounded(response, MAX_LIST_BYTES)
+            )
 
 
 def _decode(body: bytes) -> tuple[int, list[Vm]]:
--- a/src/bulrushdale/web/service_requests.py
+++ b/src/bulrushdale/web/service_requests.py
@@ -9,6 +9,7 @@
 from bulrushdale.admission import session as session_module
 from bulrushdale.catalogue import entries
 from bulrushdale.claims import claim_table
+from bulrushdale.forwarding import connections
 from bulrushdale import hashing
 from bulrushdale.web import caller as caller_module
 from bulrushdale.web import context as context_module
@@ -18,6 +19,8 @@
 # A request is assumed to reach its target within this time. On a VM that isn't
 # busy this takes a few ms.
 START_DELAY_MS = 40
+# Larger responses of a service are cut off, as they are kept in memory.
+MAX_RESPONSE_BYTES = 16 << 20
 CONNECT_ERRORS = (
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
@@ -75,7 +78,8 @@
     :param session: the HTTP session.
     :param grant: the slot that the request runs on.
     :raises NotSentError: if no connection was made.
-    :raises NoResponseError: if the connection broke afterwards.
+    :raises NoResponseError: if the connection broke afterwards, or the
+        response is too large.
     """
     target = context.targets.get(grant.target)
     if target is None or not context.slot_client.usable(grant):
@@ -98,7 +102,7 @@
             timeout=timeout,
             allow_redirects=False,
         ) as response:
-            body = await response.read()
+            body = await connections.read_bounded(response, MAX_RESPONSE_BYTES)
             return claim_table.Outcome(
                 response.status, body, response.content_type
             )
--- a/tests/test_service_requests.py
+++ b/tests/test_service_requests.py
@@ -1,11 +1,16 @@
 """Responses of plain services in the composition with a catalogue."""
 
+import asyncio
+import time
 import types
 
+import aiohttp
 import pytest
 
 from bulrushdale import clock as clock_module
 from bulrushdale import daemon
+from bulrushdale.fleet import targets as fleet_targets
+from bulrushdale.platform import vms
 from bulrushdale.web import service_requests
 from examples.standins import scripted_target
 
@@ -75,3 +80,43 @@
 ):
     outcome = await send(target, keep_alive)
     assert (outcome.status, outcome.body) == (200, b"half")
+
+
+async def endless(request, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+    while True:
+        writer.write(b"x" * 65_536)
+        await writer.drain()
+        await asyncio.sleep(0)
+
+
+async def test_response_without_end_is_no_outcome_and_not_kept(
+    target, monkeypatch
+):
+    monkeypatch.setattr(service_requests, "MAX_RESPONSE_BYTES", 1 << 20)
+    target.script = endless
+    with pytest.raises(service_requests.NoResponseError, match="1048576"):
+        await send(target, keep_alive=True)
+
+
+async def test_load_report_without_end_is_not_kept(target):
+    failed = []
+    known = types.SimpleNamespace(
+        record_failure=failed.append, record_probe=None
+    )
+    target.script = endless
+    listed = types.SimpleNamespace(name="t1", url=f"http://{target.address}")
+    started = time.monotonic()
+    async with daemon.open_session(keep_alive=True) as session:
+        await fleet_targets.probe(session, known, listed)
+    assert failed == ["t1"]
+    assert time.monotonic() - started < fleet_targets.PROBE_TIMEOUT_MS / 2000
+
+
+async def test_list_of_vms_without_end_is_not_kept(target, monkeypatch):
+    monkeypatch.setattr(vms, "MAX_LIST_BYTES", 1 << 20)
+    target.script = endless
+    async with daemon.open_session(keep_alive=True) as session:
+        client = vms.VmListClient(session, f"http://{target.address}/", 2_000)
+        with pytest.raises(aiohttp.ClientPayloadError, match="1048576"):
+            await client.read()
