Keep the back-off and the limits of a start that is listed again

An entry that came back made a new target, which knew nothing of the old one; the limits that it had stated were forgotten as well, until another router told them. What a start stated is now kept for ten minutes after its entry was removed, for starts that had stated something only.

test_start_that_is_listed_again_keeps_what_it_stated is red before. A start with another born begins without limits, as before. Not played again with real processes; a router that starts still knows no back-off of others.

--- a/src/bulrushdale/routing/targets.py
+++ b/src/bulrushdale/routing/targets.py
@@ -25,7 +25,8 @@
 ESTABLISHED_AFTER_MS = 12_000
 # How long a start that is leaving is remembered: one of its heartbeats may
 # arrive late, after the entry of the next start. Minutes are far more than
-# any grace period.
+# any grace period. What a start stated is remembered for as long after its
+# entry was removed, which is longer than any back-off.
 LEAVING_MEMORY_MS = 600_000
 # A brittle target that rejected a request has no room for this time.
 FULL_MS = 300
@@ -143,6 +144,24 @@
         self._next_half_open_ms = 0
         self._clock = clock
 
+    def take_over(self, earlier: "Target") -> None:
+        """Take over what the same start of the target stated earlier.
+
+        :param earlier: the target before its entry was removed.
+        """
+        self.backoff_until_ms = earlier.backoff_until_ms
+        self._half_open = earlier._half_open
+        self._next_half_open_ms = earlier._next_half_open_ms
+        self.limit_per_s = earlier.limit_per_s
+        self.limit_as_of_ms = earlier.limit_as_of_ms
+        self.max_rejections_per_s = earlier.max_rejections_per_s
+        self._brittle_as_of_ms = earlier._brittle_as_of_ms
+
+    @property
+    def has_stated_limits(self) -> bool:
+        """Whether it asked for fewer requests, or for none, and still may."""
+        return self._half_open or self.limit_per_s is not None or self.brittle
+
     @property
     def target_id(self) -> str:
         return self.listing.target_id
@@ -377,6 +396,7 @@
         "_compositions",
         "_recently_left",
         "_leaving_seen_ms",
+        "_removed",
         "_lapse_grace_until_ms",
         "_restore_grace_until_ms",
         "_first_listed_ms",
@@ -393,6 +413,9 @@
         self._compositions: dict[str, versions.Composition] = {}
         self._recently_left: dict[str, dict[str, tuple[int, Target]]] = {}
         self._leaving_seen_ms: dict[tuple[str, int], int] = {}
+        # Starts whose entries were removed although they had stated limits,
+        # with the time of the removal. They may be listed again.
+        self._removed: dict[tuple[str, int], tuple[int, Target]] = {}
         self._first_listed_ms: int | None = None
         self._lapse_grace_until_ms = 0
         self._restore_grace_until_ms = 0
@@ -413,7 +436,11 @@
         if known is None or known.listing.started_ms != listing.started_ms:
             if known is not None:
                 self._drop(known, "started again")
-            self._add(Target(listing, self._clock))
+            target = Target(listing, self._clock)
+            _, earlier = self._removed.pop(start, (0, None))
+            if earlier is not None:
+                target.take_over(earlier)
+            self._add(target)
             return
         if listing.leaving and not known.leaving:
             self._deactivate(known)
@@ -534,13 +561,16 @@
         return tuple(report for report in reports if report is not None)
 
     def _drop(self, target: Target, reason: str) -> None:
-        """Forget a target, except that it left recently."""
+        """Forget a target, except that it left recently and its limits."""
         if not target.leaving:
             self._deactivate(target)
         self._targets.pop(target.target_id, None)
         by_id = self._by_service.get(target.listing.service, {})
         by_id.pop(target.target_id, None)
         self._forget_active(target.listing.service)
+        if target.has_stated_limits:
+            start = (target.target_id, target.listing.started_ms)
+            self._removed[start] = (self._clock.now_ms(), target)
         self._log("target.dropped", target, reason)
 
     def _deactivate(self, target: Target) -> None:
@@ -616,6 +646,9 @@
         for start, seen_ms in list(self._leaving_seen_ms.items()):
             if seen_ms < oldest_ms:
                 del self._leaving_seen_ms[start]
+        for start, (removed_ms, _) in list(self._removed.items()):
+            if removed_ms < oldest_ms:
+                del self._removed[start]
         if self._clock.now_ms() < self._lapse_grace_until_ms:
             return
         for target in list(self._targets.values()):
--- a/tests/test_route_targets.py
+++ b/tests/test_route_targets.py
@@ -84,6 +84,35 @@
     assert active_ids(targets) == ["t1"]
 
 
+def test_start_that_is_listed_again_keeps_what_it_stated(targets, clock):
+    """Its back-off was forgotten, and requests reached it at once."""
+    target = targets.require("t1")
+    target.back_off(20_000)
+    target.set_limit(5.0, clock.now_ms())
+    target.set_max_rejections(2.0, clock.now_ms())
+    targets.remove("t1")
+    clock.advance(2_000)
+    targets.put(LISTING)
+    listed_again = targets.require("t1")
+    assert listed_again.backing_off
+    assert listed_again.limit_per_s == 5.0
+    assert listed_again.brittle
+    clock.advance(17_999)
+    assert listed_again.backing_off
+    targets.remove("t1")
+    targets.put(dataclasses.replace(LISTING, started_ms=2))
+    assert not targets.require("t1").backing_off
+
+
+def test_what_a_removed_start_stated_is_forgotten_in_time(targets, clock):
+    targets.require("t1").set_limit(5.0, clock.now_ms())
+    targets.remove("t1")
+    clock.advance(targets_module.LEAVING_MEMORY_MS + 1)
+    targets.expire(0)
+    targets.put(LISTING)
+    assert targets.require("t1").limit_per_s is None
+
+
 def test_leaving_target_does_not_lapse(targets):
     targets.put(dataclasses.replace(LISTING, leaving=True))
     targets.record_store_regained()
