--- a/examples/standins/settings_file.py
+++ b/examples/standins/settings_file.py
@@ -11,6 +11,7 @@
 ready = "{ip}:18082"
 [bounds]
 grace_s = 5
+{bounds}
 [platform]
 address = "{store}"
 """
@@ -18,7 +19,14 @@
 READY_PORT = 18082
 
 
-def text(name: str, ip: str, data_centre: str, seed: str, store: str) -> str:
+def text(
+    name: str,
+    ip: str,
+    data_centre: str,
+    seed: str,
+    store: str,
+    bounds: str = "",
+) -> str:
     """Return the text of a router's settings file.
 
     :param name: the router's name.
@@ -26,7 +34,13 @@
     :param data_centre: the data centre in which it runs.
     :param seed: IP of the router that it contacts first.
     :param store: IP and port of the store.
+    :param bounds: more lines of the table of bounds.
     """
     return TEMPLATE.format(
-        name=name, ip=ip, data_centre=data_centre, seed=seed, store=store
+        name=name,
+        ip=ip,
+        data_centre=data_centre,
+        seed=seed,
+        store=store,
+        bounds=bounds,
     )
--- a/tests/router_processes.py
+++ b/tests/router_processes.py
@@ -23,15 +23,16 @@
     :param seed: IP of the router that it contacts first.
     :param store_address: IP and port of the store.
     :param folder: the folder of its settings and log.
+    :param bounds: more bounds of its settings, as lines of the file.
     """
 
-    def __init__(self, name, ip, seed, store_address, folder):
+    def __init__(self, name, ip, seed, store_address, folder, bounds=""):
         self.ip = ip
         self.process = None
         self._settings = folder / f"{name}.toml"
         self._log = folder / f"{name}.log"
         self._settings.write_text(
-            settings_file.text(name, ip, "dc1", seed, store_address)
+            settings_file.text(name, ip, "dc1", seed, store_address, bounds)
         )
 
     def url(self, path):
@@ -100,8 +101,11 @@
         self._first_host = 1 + pid % 250
         self.processes = []
 
-    async def add_process(self):
-        """Start a router process, and wait until it is ready."""
+    async def add_process(self, bounds=""):
+        """Start a router process, and wait until it is ready.
+
+        :param bounds: more bounds of its settings, as lines of the file.
+        """
         number = len(self.processes)
         ips = [
             f"{self._network}.{(self._first_host + n) % 254 + 1}"
@@ -113,6 +117,7 @@
             ips[0],
             self.store_address,
             self._folder,
+            bounds,
         )
         self.processes.append(router)
         self.stack.push_async_callback(router.kill)
