Bound what compressed datagrams and records of other routers expand to

A datagram of 64 KB from a faulty peer expanded to 64 MB, and a response with records, itself at most 16 MB, to some GB, in the memory of a router that may have 300 MB. Both now end with the error of an invalid message once they are too large; sizes of valid ones are far below. Both new tests are red before.

--- a/src/bulrushdale/forwarding/peer_transport.py
+++ b/src/bulrushdale/forwarding/peer_transport.py
@@ -48,6 +48,10 @@
 # Fits a configuration of 4 MB, the largest that operators may publish, and
 # the list of several thousand targets.
 MAX_RESPONSE_BYTES = 16 << 20
+# Compressed data may expand a thousand times. A datagram holds less than
+# 64 KB, and totals of 2,000 targets are some 100 KB of JSON.
+MAX_DATAGRAM_JSON_BYTES = 4 << 20
+MAX_RECORDS_BYTES = 64 << 20
 
 
 def encode_report(report: reports.Report) -> bytes:
@@ -131,18 +135,31 @@
 def _decompress_blocks(data: bytes) -> list[typing.Any]:
     """Decode the compressed blocks of a datagram.
 
-    :raises ValueError: if a block is cut short or invalid.
+    :raises ValueError: if a block is cut short or invalid, or all together
+        are too large.
     """
     blocks = []
+    left_bytes = MAX_DATAGRAM_JSON_BYTES
     while data:
-        decompressor = zlib.decompressobj()
-        blocks.append(orjson.loads(decompressor.decompress(data)))
-        if not decompressor.eof:
-            raise ValueError("a block is cut short")
-        data = decompressor.unused_data
+        block, data = _decompress(data, left_bytes)
+        left_bytes -= len(block)
+        blocks.append(orjson.loads(block))
     return blocks
 
 
+def _decompress(data: bytes, max_bytes: int) -> tuple[bytes, bytes]:
+    """Return a decompressed block, and the data behind it.
+
+    :raises ValueError: if the block is cut short or larger.
+    """
+    decompressor = zlib.decompressobj()
+    # Zero would mean no limit.
+    block = decompressor.decompress(data, max(1, max_bytes))
+    if not decompressor.eof:
+        raise ValueError(f"a block is cut short or has over {max_bytes} bytes")
+    return block, decompressor.unused_data
+
+
 def decode_report(data: bytes) -> reports.Report:
     """Decode the report in a datagram.
 
@@ -618,17 +635,23 @@
         data = orjson.loads(body)
         era = records.check_era(int(data.get("era", 0)))
         earlier = data.get("earlier", {})
-        decoded = [
-            records.KeyedRecord(
-                int(offset),
-                str(key),
-                None
-                if value is None
-                else zlib.decompress(base64.b64decode(value)),
-                records.check_era(int(earlier.get(key, era))),
+        decoded = []
+        left_bytes = MAX_RECORDS_BYTES
+        for offset, key, compressed in data["records"]:
+            value = None
+            if compressed is not None:
+                value, _ = _decompress(
+                    base64.b64decode(compressed), left_bytes
+                )
+                left_bytes -= len(value)
+            decoded.append(
+                records.KeyedRecord(
+                    int(offset),
+                    str(key),
+                    value,
+                    records.check_era(int(earlier.get(key, era))),
+                )
             )
-            for offset, key, value in data["records"]
-        ]
         page = records.Page(
             decoded,
             int(data["next_offset"]),
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -1,7 +1,9 @@
 """Records of other writers that aren't entries of targets."""
 
+import base64
 import contextlib
 import types
+import zlib
 
 import aiohttp
 from aiohttp import test_utils
@@ -80,6 +82,28 @@
     assert not peers.addresses()
 
 
+def test_datagram_that_expands_without_end_is_invalid():
+    data = zlib.compress(b" " * (32 << 20) + b"[]")
+    assert len(data) < 1 << 16
+    with pytest.raises(ValueError, match="bytes"):
+        peer_transport.decode_report(data)
+
+
+def test_records_that_expand_without_end_are_invalid():
+    value = base64.b64encode(zlib.compress(bytes(1 << 20))).decode()
+    body = orjson.dumps(
+        {
+            "age_ms": 1,
+            "next_offset": 200,
+            "snapshot": True,
+            "records": [[n, f"k{n}", value] for n in range(200)],
+        }
+    )
+    assert len(body) < peer_transport.MAX_RESPONSE_BYTES
+    with pytest.raises(ValueError, match="bytes"):
+        peer_transport.decode_records(body)
+
+
 @hypothesis.given(strategies.binary(max_size=200))
 def test_any_bytes_of_a_peer_are_a_report_or_invalid(data):
     with pytest.raises(ValueError):
