Tests: tell router processes of a deployment whether the system starts first

Its settings file lacked bootstrap, which the platform sets at the first start of the whole system; it now has it at the first start of a process and not when a test starts that one again. No check has changed.

--- a/examples/standins/settings_file.py
+++ b/examples/standins/settings_file.py
@@ -6,6 +6,7 @@
 zone = "{data_centre}"
 internal_ports = [18083, 18084]
 seeds = ["{seed}:1"]
+bootstrap = {bootstrap}
 [listen]
 front = "{ip}:18081"
 ready = "{ip}:18082"
@@ -26,6 +27,7 @@
     seed: str,
     store: str,
     bounds: str = "",
+    first_start: bool = False,
 ) -> str:
     """Return the text of a router's settings file.
 
@@ -35,6 +37,7 @@
     :param seed: IP of the router that it contacts first.
     :param store: IP and port of the store.
     :param bounds: more lines of the table of bounds.
+    :param first_start: whether the whole system starts for the first time.
     """
     return TEMPLATE.format(
         name=name,
@@ -43,4 +46,5 @@
         seed=seed,
         store=store,
         bounds=bounds,
+        bootstrap=str(first_start).lower(),
     )
--- a/tests/router_processes.py
+++ b/tests/router_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import itertools
 import os
 import sys
@@ -31,8 +32,8 @@
         self.process = None
         self._settings = folder / f"{name}.toml"
         self._log = folder / f"{name}.log"
-        self._settings.write_text(
-            settings_file.text(name, ip, "dc1", seed, store_address, bounds)
+        self._settings_text = functools.partial(
+            settings_file.text, name, ip, "dc1", seed, store_address, bounds
         )
 
     def url(self, path):
@@ -44,6 +45,8 @@
 
     async def start(self):
         """Start the process, and wait until it is ready."""
+        first_start = self.process is None
+        self._settings.write_text(self._settings_text(first_start=first_start))
         with self._log.open("ab") as out:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
