Don't send on a request whose caller has left already

Cause: the event loop reads the end of a connection one turn after the request, and the handler writes to an idle connection to a target in the turn between. It now waits one turn, so that the end cancels it first.

Evidence: tests/test_left_callers.py, red before (five of five requests sent on, 3 of 3), green 3 of 3 after. Ruled out: a busy router, as the machine of the test is idle, and none is sent on where a connection must be opened first.

--- a/src/bulrushdale/forwarding/callers.py
+++ b/src/bulrushdale/forwarding/callers.py
@@ -126,6 +126,9 @@
             self._refuse_if_closed()
             await self._wait_until_loaded()
             body = await self._read_body(request)
+            # The end of a connection is read one turn of the event loop after
+            # a request that arrived before it.
+            await asyncio.sleep(0)
             # The body may have taken until now.
             self._refuse_if_closed()
             try:
