--- a/src/bulrushdale/forwarding/connections.py
+++ b/src/bulrushdale/forwarding/connections.py
@@ -32,6 +32,8 @@
 # connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _END_ON_CLOSE = struct.pack("ii", 0, 0)
+# Linux: the state, and the number of unacknowledged segments.
+_TCP_INFO = struct.Struct("=B23xI")
 _HEAD_END = b"\r\n\r\n"
 # Stray responses up to this size are read and discarded to keep the
 # connection. For larger ones a new connection costs less.
@@ -76,6 +78,34 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def unacknowledged_segments(transport: asyncio.BaseTransport) -> int | None:
+    """Return how many sent segments the peer hasn't acknowledged.
+
+    :return: the number; none if the kernel doesn't tell.
+    """
+    info = _tcp_info(transport)
+    return None if info is None else info[1]
+
+
+def _tcp_info(transport: asyncio.BaseTransport) -> tuple[int, int] | None:
+    """Return the TCP state of a connection and its unacknowledged segments."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return None
+    try:
+        data = sock.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size
+        )
+        return typing.cast(tuple[int, int], _TCP_INFO.unpack(data))
+    except (OSError, struct.error):
+        return None
+
+
+def format_address(peer: tuple[str, int] | None) -> str:
+    """Return an address as text; empty if the connection has ended."""
+    return "" if peer is None else f"{peer[0]}:{peer[1]}"
+
+
 def make_socket(
     family: int = socket.AF_INET,
     kind: int = socket.SOCK_STREAM,
@@ -189,9 +219,24 @@
         """
         transport = self.transport
         if transport is not None and (self.awaiting_head or self.should_close):
+            self._log_abandoned(transport)
             reset_on_close(transport)
         super().close()
 
+    def _log_abandoned(self, transport: asyncio.Transport) -> None:
+        if not self.id_header:
+            return
+        LOG.info(
+            "connection closed before the end of its response",
+            extra={
+                "event": "answer.abandoned",
+                "request_id": self.expected_id,
+                "peer": format_address(transport.get_extra_info("peername")),
+                "unsent_bytes": transport.get_write_buffer_size(),
+                "unacknowledged": unacknowledged_segments(transport),
+            },
+        )
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a response without a length if its connection was reset.
 
