--- a/soak/checker.py
+++ b/soak/checker.py
@@ -3,6 +3,8 @@
 import collections
 import dataclasses
 
+from soak import repeats as repeats_module
+
 # A revoked key may be accepted for at most this long.
 MAX_REVOCATION_DELAY_MS = 5_000
 # A target may get requests for at most this long after its entry says that
@@ -12,6 +14,12 @@
 MAX_REACTION_MS = 500
 # Requests that may be in transit to a target that asked for back-off.
 MAX_IN_TRANSIT = 2
+# Another target may have begun to process a request for this long while the
+# one before is still at work on it.
+MAX_OVERLAP_MS = 400
+# A router that has run without faults for this long, on a path without
+# faults, ends a run that it has given up.
+STABILITY_MS = 3_000
 # Statuses that guarantee that a request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -46,6 +54,8 @@
 class Checker:
     """Records what callers and targets see, and finds violations.
 
+    :param repeats: counts requests and their arrivals.
+
     :ivar violations: one line for each violated guarantee.
     :ivar outcomes: number of requests by status, or by error if there was
         no response.
@@ -53,10 +63,11 @@
         guarantee was violated.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, repeats: repeats_module.Repeats | None = None) -> None:
         self.violations: list[str] = []
         self.trace: list[str] = []
         self.outcomes: collections.Counter[str] = collections.Counter()
+        self.repeats = repeats
         self._executions: dict[str, list[Execution]] = collections.defaultdict(
             list
         )
@@ -168,6 +179,44 @@
                     f"{request_id} ran {late_ms} ms after its key was revoked"
                 )
 
+    def record_end(
+        self, request_id: str, target: str, now_ms: int, fault_free_ms: int
+    ) -> None:
+        """Record that a target stopped to process a request.
+
+        It is a violation if the request has gone on at another target, and
+        nothing kept the router from telling this one.
+
+        :param request_id: the request.
+        :param target: the target's name.
+        :param now_ms: the time, in ms on the soak's clock.
+        :param fault_free_ms: time in ms since the last fault of the router
+            or of its path to the target.
+        """
+        executions = self._executions[request_id]
+        first = next(e for e in executions if e.target == target)
+        for later in executions[executions.index(first) + 1 :]:
+            overlap_ms = now_ms - later.started_ms
+            if (
+                later.target != target
+                and overlap_ms > MAX_OVERLAP_MS
+                and fault_free_ms > STABILITY_MS
+            ):
+                self.violations.append(
+                    f"{request_id} went on at {later.target} while {target} "
+                    f"was at work on it for {overlap_ms} ms, {fault_free_ms} "
+                    "ms after the last fault between them"
+                )
+
+    def check_repeats(self) -> None:
+        """Find the window with the most repeats beyond the budget, if any."""
+        worst = self.repeats.worst()
+        if worst is not None and worst.excess > 0:
+            self.violations.append(
+                f"{worst.repeats} repeats from {worst.start_ms} ms on for "
+                f"{worst.requests} requests; allowed {worst.allowed:.0f}"
+            )
+
     def record_response(
         self,
         request_id: str,
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -2,11 +2,18 @@
 
 import asyncio
 import contextlib
+import ctypes
 import enum
 import socket
 import struct
 
 CHUNK_BYTES = 65_536
+# Linux: a packet filter of a socket, and its removal. The filter is a single
+# instruction that accepts 0 bytes of each packet.
+_SO_ATTACH_FILTER = 26
+_SO_DETACH_FILTER = 27
+_RETURN_ZERO = ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0))
+_DROP_ALL = struct.pack("HP", 1, ctypes.addressof(_RETURN_ZERO))
 
 
 class Mode(enum.Enum):
@@ -14,7 +21,8 @@
 
     ``PASS`` forwards at once, ``DELAY`` after 0.1 s. ``STALL`` holds all data,
     ``STALL_REPLIES`` only what the upstream address sends. ``REFUSE`` resets
-    new connections.
+    new connections. ``CUT`` drops all packets: a reset is lost, an end or data
+    is sent again by its kernel, and new connections open only after the cut.
     """
 
     PASS = "pass"
@@ -22,6 +30,7 @@
     STALL = "stall"
     STALL_REPLIES = "stall_replies"
     REFUSE = "refuse"
+    CUT = "cut"
 
 
 class Proxy:
@@ -37,9 +46,24 @@
         self._upstream = upstream
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
-        self.mode = Mode.PASS
+        self._downstream: set[asyncio.StreamWriter] = set()
+        self._mode = Mode.PASS
         self.address = ""
 
+    @property
+    def mode(self) -> Mode:
+        return self._mode
+
+    @mode.setter
+    def mode(self, mode: Mode) -> None:
+        self._mode = mode
+        sockets = [w.get_extra_info("socket") for w in self._downstream]
+        if self._server is not None:
+            sockets += self._server.sockets
+        for sock in sockets:
+            if sock is not None and sock.fileno() >= 0:
+                _set_drops_packets(sock, mode is Mode.CUT)
+
     async def start(self, host: str = "127.0.0.1") -> None:
         """Listen on a free port."""
         self._server = await asyncio.start_server(self._accept, host, 0)
@@ -47,9 +71,10 @@
         self.address = f"{host}:{port}"
 
     def stop(self) -> None:
-        """Stop listening."""
+        """Stop listening, and end all connections."""
         if self._server is not None:
             self._server.close()
+        self.reset()
 
     def reset(self) -> None:
         """Reset every open connection."""
@@ -72,11 +97,15 @@
             _reset(writer)
             return
         self._writers |= {writer, upstream_writer}
+        self._downstream.add(writer)
+        if self.mode is Mode.CUT:
+            _set_drops_packets(writer.get_extra_info("socket"), True)
         await asyncio.gather(
             self._forward(reader, upstream_writer, is_reply=False),
             self._forward(upstream_reader, writer, is_reply=True),
         )
         self._writers -= {writer, upstream_writer}
+        self._downstream.discard(writer)
 
     async def _forward(
         self,
@@ -99,18 +128,32 @@
                     break
                 writer.write(data)
                 await writer.drain()
+        while is_reply and self.mode is Mode.CUT:  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
         writer.close()
 
     async def _apply_mode(self, is_reply: bool) -> None:
         """Delay data, or hold it until a stall ends."""
         if self.mode is Mode.DELAY:
             await asyncio.sleep(0.1)
+        # What came before a cut has arrived, unlike replies.
         while self.mode is Mode.STALL or (  # noqa: ASYNC110
-            is_reply and self.mode is Mode.STALL_REPLIES
+            is_reply and self.mode in (Mode.STALL_REPLIES, Mode.CUT)
         ):
             await asyncio.sleep(0.05)
 
 
+def _set_drops_packets(sock: socket.socket, drops: bool) -> None:
+    """Let a socket drop all packets that arrive, or none."""
+    if drops:
+        sock.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, _DROP_ALL)
+    else:
+        with contextlib.suppress(FileNotFoundError):
+            sock.setsockopt(
+                socket.SOL_SOCKET, _SO_DETACH_FILTER, struct.pack("i", 0)
+            )
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a TCP reset instead of a FIN."""
     sock = writer.get_extra_info("socket")
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -4,6 +4,8 @@
 import collections
 from collections import abc
 import contextlib
+import dataclasses
+import itertools
 import os
 import pathlib
 import random
@@ -22,14 +24,64 @@
 from examples.standins import store as store_standin
 from soak import checker as checker_module
 from soak import proxy as proxy_module
+from soak import repeats
 
 HOST = "127.0.0.1"
 CALLERS = 12
+# After a request that failed.
+CALLER_PAUSE_S = 0.12
+HTTP_OK = 200
 STREAM_EVENTS = 12
-TARGETS = 4
+TARGETS = 6
 FAULT_GAP_S = 0.7
 BACKOFF_MS = 1_500
 OLD_KEY, KEY = "key-old", "key-new"
+RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S = 0.2, 10, 10
+BOUNDS = (
+    f"retry_budget_ratio = {RETRY_RATIO}\nbudget_slack = {RETRY_SLACK}\n"
+    f"budget_window_s = {RETRY_WINDOW_S}"
+)
+# Requests that come at a steady rate, whatever becomes of those before.
+STEADY_GAP_S = 0.006
+# Share of them that run long without a word, and how long.
+SILENT_SHARE = 0.04
+SILENT_RUN_S = 9.0
+# Share of the runs that fail while the whole service does.
+FAILING_SHARE = 0.95
+STORY_STARTS_S = RETRY_WINDOW_S
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Story:
+    """Faults that last and come in series, beside the single ones.
+
+    :param failure: the fault of nearly all runs; empty for none.
+    :param signal_sent: the signal that all routers get, one series after the
+        other; none for no restarts.
+    :param in_turn: whether they get it one after the other.
+    :param cuts: whether paths to targets are cut in series.
+    :param crashes: whether targets crash and come back in series.
+    :param alone: whether there are no single faults besides.
+    """
+
+    failure: str = ""
+    signal_sent: signal.Signals | None = None
+    in_turn: bool = False
+    cuts: bool = False
+    crashes: bool = False
+    alone: bool = False
+
+
+def draw_story(rng: random.Random) -> Story:
+    """Return a random story."""
+    return Story(
+        rng.choice(["", "error", "close", "cut", "hang", "backoff"]),
+        rng.choice([None, signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP]),
+        rng.random() < 0.3,
+        rng.random() < 0.5,
+        rng.random() < 0.3,
+        rng.random() < 0.5,
+    )
 
 
 def _now_ms() -> int:
@@ -97,6 +149,8 @@
                 f"dc{self._number % 2}",
                 _router_ip(1),
                 self.store_proxy.address if self.store_proxy else "",
+                BOUNDS,
+                first_start=self._process is None,
             )
         )
         log = self._folder / f"r{self._number}.log"
@@ -127,16 +181,30 @@
     :param seed: seed of the random faults and requests.
     :param routers: number of router processes.
     :param folder: the folder of settings and logs.
+    :param story: the lasting faults; none to draw them.
     """
 
-    def __init__(self, seed: int, routers: int, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        seed: int,
+        routers: int,
+        folder: pathlib.Path,
+        story: Story | None = None,
+    ) -> None:
         self.random = random.Random(seed)
-        self.checker = checker_module.Checker()
+        self.story = story or draw_story(random.Random(f"story {seed}"))
+        self.checker = checker_module.Checker(
+            repeats.Repeats(
+                RETRY_RATIO, RETRY_SLACK, int(RETRY_WINDOW_S * 1000)
+            )
+        )
         self.store = store_standin.Store()
         self.routers = [Router(n, folder) for n in range(1, routers + 1)]
+        self.targets: dict[str, scripted_target.ScriptedTarget] = {}
         self.target_proxies: dict[str, proxy_module.Proxy] = {}
         self.router_by_request: dict[str, Router] = {}
         self.target_faults: dict[str, str] = {}
+        self.failure = ""
         self.path_faults: dict[str, FaultTracker] = collections.defaultdict(
             FaultTracker
         )
@@ -187,6 +255,12 @@
                 "resumable": True,
                 "sticky_sessions": True,
             },
+            {
+                "name": "review",
+                "kind": "streaming",
+                "resumable": True,
+                "timeout_ms": 14_000,
+            },
         ]
         value = {
             "version": self.configuration_version,
@@ -213,21 +287,27 @@
         target = scripted_target.ScriptedTarget(respond)
         await target.start()
         self.stack.push_async_callback(target.stop)
+        self.targets[name] = target
         proxy = proxy_module.Proxy(target.address)
         await proxy.start()
         self.stack.callback(proxy.stop)
         self.target_proxies[name] = proxy
         await self.write_target_entry(name, "ready")
 
-    async def write_target_entry(self, name: str, state: str) -> None:
-        """Write a target's entry to the store."""
+    async def write_target_entry(
+        self, name: str, state: str, start: int = 1
+    ) -> None:
+        """Write a target's entry to the store.
+
+        :param start: number of the target's start.
+        """
         entry = {
             "service": "oven",
             "address": self.target_proxies[name].address,
             "zone": "dc1",
             "slots": 8,
             "state": state,
-            "born": 1,
+            "born": start,
         }
         await self.store.put("keyed.servers", name, orjson.dumps(entry))
 
@@ -244,6 +324,7 @@
         :param writer: stream to the router.
         :return: ``False`` if the connection is to be closed.
         """
+        self.checker.repeats.record_arrival(request.request_id, _now_ms())
         if request.headers.get("x-expect-instance") != name:
             writer.write(scripted_target.response(request, "421 Misdirected"))
             return None
@@ -252,7 +333,13 @@
         self.checker.record_arrival(
             name, router.name, _now_ms(), fault_free_ms
         )
-        if self.target_faults.get(name) == "backoff":
+        fault = self.target_faults.get(name, "")
+        share = 1.0 if fault == "backoff" else 0.4
+        if not fault and self.failure:
+            fault, share = self.failure, FAILING_SHARE
+        if self.random.random() >= share:
+            fault = ""
+        if fault == "backoff":
             self.checker.record_backoff_notice(
                 name, router.name, _now_ms(), BACKOFF_MS
             )
@@ -273,10 +360,39 @@
             _now_ms(),
             self.must_know_changes(request.request_id),
         )
-        fault = self.target_faults.get(name, "")
-        if fault and self.random.random() < 0.4:
+        try:
+            return await self._run(name, router, fault, request, writer)
+        finally:
+            self.checker.record_end(
+                request.request_id,
+                name,
+                _now_ms(),
+                self.fault_free_ms(router, name),
+            )
+
+    async def _run(
+        self,
+        name: str,
+        router: Router,
+        fault: str,
+        request: scripted_target.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool | None:
+        """Run a request at a target.
+
+        :param name: the target's name.
+        :param router: the router that sent it.
+        :param fault: how the run fails; empty if it doesn't.
+        :param writer: stream to the router.
+        :return: ``False`` if the connection is to be closed.
+        """
+        if fault:
             return await self._send_faulty_response(fault, request, writer)
-        if "/chat/" in request.line or "/plan/" in request.line:
+        if "/review/" in request.line:
+            await asyncio.sleep(SILENT_RUN_S)
+        if any(
+            f"/{kind}/" in request.line for kind in ("chat", "plan", "review")
+        ):
             await self._send_stream(request, writer, STREAM_EVENTS)
             writer.write(scripted_target.chunk(b""))
             return None
@@ -363,16 +479,18 @@
 
 
 async def run_seed(
-    seed: int, seconds: float, routers: int
+    seed: int, seconds: float, routers: int, story: Story | None = None
 ) -> checker_module.Checker:
     """Run one seed; keep the routers' logs if a guarantee was violated.
 
     :param seed: seed of the random faults and requests.
     :param seconds: duration of faults and requests, in s.
     :param routers: number of router processes.
+    :param story: the lasting faults; none to draw them.
     """
     folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
-    run = Run(seed, routers, folder)
+    run = Run(seed, routers, folder, story)
+    run.record_event(str(run.story))
     async with run.stack:
         try:
             await _start_fleet(run)
@@ -381,12 +499,16 @@
                 asyncio.create_task(_send_requests(run, number, end_s))
                 for number in range(CALLERS)
             ]
-            await _inject_faults(run, end_s)
+            callers.append(asyncio.create_task(_send_steadily(run, end_s)))
+            await asyncio.gather(
+                _inject_faults(run, end_s), _tell_story(run, end_s)
+            )
             await asyncio.gather(*callers)
         finally:
             for router in run.routers:
                 router.send_signal(signal.SIGKILL)
                 await router.wait()
+    run.checker.check_repeats()
     if run.checker.violations:
         run.checker.trace = [*run.history, f"logs: {folder}"]
     else:
@@ -422,15 +544,43 @@
             count += 1
             request_id = f"c{number}-{count}"
             kind = run.random.choice(["order", "lookup", "chat", "plan"])
-            router = run.random.choice(run.routers)
-            run.checker.record_sent(request_id, kind in ("order", "chat"))
-            run.router_by_request[request_id] = router
-            try:
-                async with asyncio.timeout(6):
-                    await _send_request(run, session, router, kind, request_id)
-            except (aiohttp.ClientError, TimeoutError, OSError) as error:
-                run.checker.record_lost(type(error).__name__)
-                await asyncio.sleep(0.1)
+            if not await _send_one(run, session, kind, request_id):
+                await asyncio.sleep(CALLER_PAUSE_S)
+
+
+async def _send_steadily(run: Run, end_s: float) -> None:
+    """Send requests at a steady rate, whatever becomes of them."""
+    async with (
+        aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        ) as session,
+        asyncio.TaskGroup() as group,
+    ):
+        session._retry_connection = False
+        for count in itertools.count():
+            if time.monotonic() >= end_s:
+                break
+            kind = "lookup"
+            if run.story.cuts and run.random.random() < SILENT_SHARE:
+                kind = "review"
+            group.create_task(_send_one(run, session, kind, f"s-{count}"))
+            await asyncio.sleep(STEADY_GAP_S)
+
+
+async def _send_one(
+    run: Run, session: aiohttp.ClientSession, kind: str, request_id: str
+) -> bool:
+    """Send one request to a random router; return whether it succeeded."""
+    router = run.random.choice(run.routers)
+    run.checker.record_sent(request_id, kind in ("order", "chat"))
+    run.checker.repeats.record_request(_now_ms())
+    run.router_by_request[request_id] = router
+    try:
+        async with asyncio.timeout(15 if kind == "review" else 6):
+            return await _send_request(run, session, router, kind, request_id)
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        run.checker.record_lost(type(error).__name__)
+        return False
 
 
 async def _send_request(
@@ -439,16 +589,17 @@
     router: Router,
     kind: str,
     request_id: str,
-) -> None:
+) -> bool:
     """Send one request and record its response.
 
     :param kind: name of the route, which is also the first part of the path.
+    :return: whether it succeeded.
     """
     key = run.key
     headers = {
         "Host": "example.test",
         "X-Request-Id": request_id,
-        "X-Deadline-Ms": "4000",
+        "X-Deadline-Ms": "14000" if kind == "review" else "4000",
         "Authorization": f"Bearer {key}",
         "X-Own-Key": key,
         "X-Prompt-Prefix": f"{request_id[:2]}:700,{request_id}:20",
@@ -458,7 +609,7 @@
     ) as response:
         body = await response.read()
         expected = f"{request_id} done".encode()
-        if kind in ("chat", "plan"):
+        if kind in ("chat", "plan", "review"):
             expected = b"".join(
                 scripted_target.event(n) for n in range(STREAM_EVENTS)
             )
@@ -469,6 +620,82 @@
             body == expected,
             key == OLD_KEY,
         )
+        return response.status == HTTP_OK
+
+
+async def _tell_story(run: Run, end_s: float) -> None:
+    """Inject the faults of the story, in parallel, until the end of the run.
+
+    The service fails until shortly before the end, so that the last runs end
+    on calm paths.
+    """
+    await asyncio.sleep(STORY_STARTS_S)
+    run.record_event(f"the service fails: {run.story.failure}")
+    run.failure = run.story.failure
+    async with asyncio.TaskGroup() as group:
+        if run.story.signal_sent is not None:
+            group.create_task(_restart_in_series(run, end_s))
+        if run.story.cuts:
+            group.create_task(_cut_in_series(run, end_s))
+        if run.story.crashes:
+            group.create_task(_crash_in_series(run, end_s))
+        group.create_task(asyncio.sleep(end_s - time.monotonic()))
+    run.failure = ""
+
+
+async def _restart_in_series(run: Run, end_s: float) -> None:
+    """Send all routers the signal of the story, again and again."""
+    while time.monotonic() < end_s:
+        await asyncio.sleep(run.random.uniform(2, 3))
+        if run.story.in_turn:
+            for router in run.routers:
+                await _send_signal(run, router)
+        else:
+            await asyncio.gather(
+                *(_send_signal(run, router) for router in run.routers)
+            )
+
+
+async def _send_signal(run: Run, router: Router) -> None:
+    """Send a router the signal of the story, and wait until it works."""
+    if run.story.signal_sent is signal.SIGSTOP:
+        await _freeze_router(run, router, run.random.uniform(0.5, 2))
+    elif run.story.signal_sent is not None:
+        await _restart_router(run, router, run.story.signal_sent)
+
+
+async def _cut_in_series(run: Run, end_s: float) -> None:
+    """Cut the path to one target after the other."""
+    names = itertools.cycle(run.target_proxies)
+    while time.monotonic() < end_s - 2:
+        name = next(names)
+        with run.path_faults[name].record():
+            proxy = run.target_proxies[name]
+            proxy.mode = proxy_module.Mode.CUT
+            run.record_event(f"{name}: cut")
+            await asyncio.sleep(run.random.uniform(1, 2.7))
+            proxy.mode = proxy_module.Mode.PASS
+            run.record_event(f"{name}: pass")
+        await asyncio.sleep(run.random.uniform(0.2, 1))
+
+
+async def _crash_in_series(run: Run, end_s: float) -> None:
+    """Crash one target after the other; each comes back as a new start."""
+    for start in itertools.count(2):
+        await asyncio.sleep(run.random.uniform(0.5, 3))
+        if time.monotonic() >= end_s:
+            break
+        # The first ones leave, see _inject_faults.
+        name = run.random.choice(list(run.targets)[2:])
+        target = run.targets[name]
+        with run.path_faults[name].record():
+            run.record_event(f"{name} crashes")
+            await target.crash()
+            await asyncio.sleep(run.random.uniform(0.2, 2))
+            _, _, port = target.address.rpartition(":")
+            await target.start(port=int(port))
+            await run.write_target_entry(name, "ready", start)
+            run.record_event(f"{name} is back")
 
 
 async def _inject_faults(run: Run, end_s: float) -> None:
@@ -491,8 +718,9 @@
     leave_s = time.monotonic() + 4
     announce_s = time.monotonic() + 3
     while time.monotonic() < end_s:
-        fault = run.random.choice(faults)
-        tasks.append(asyncio.create_task(fault(run)))
+        if not run.story.alone:
+            fault = run.random.choice(faults)
+            tasks.append(asyncio.create_task(fault(run)))
         if revoke_s is not None and time.monotonic() > revoke_s:
             revoke_s = None
             run.record_event("the old key is revoked")
@@ -528,7 +756,21 @@
     A router may get a second signal while it is still ending; only the
     call that sent the first signal starts it again.
     """
-    router = run.random.choice(run.routers)
+    await _restart_router(
+        run,
+        run.random.choice(run.routers),
+        number,
+        run.random.uniform(0, 0.5),
+    )
+
+
+async def _restart_router(
+    run: Run, router: Router, number: signal.Signals, delay_s: float = 0.0
+) -> None:
+    """Restart a router after ending it with a signal.
+
+    :param delay_s: time until it starts again, in s.
+    """
     router.send_signal(number)
     # A suspended process handles SIGTERM only once it continues.
     router.send_signal(signal.SIGCONT)
@@ -538,7 +780,7 @@
     run.record_event(f"{router.name} gets {number.name}")
     with router.process_faults.record():
         await router.wait()
-        await asyncio.sleep(run.random.uniform(0, 0.5))
+        await asyncio.sleep(delay_s)
         await router.start()
     run.record_event(f"{router.name} starts")
     router.restarting = False
@@ -547,10 +789,15 @@
 async def _freeze(run: Run) -> None:
     """Suspend a router for 0.5 to 6 s."""
     router = run.random.choice(run.routers)
+    await _freeze_router(run, router, run.random.uniform(0.5, 6))
+
+
+async def _freeze_router(run: Run, router: Router, seconds: float) -> None:
+    """Suspend a router for a time, in s."""
     run.record_event(f"{router.name} is frozen")
     router.send_signal(signal.SIGSTOP)
     with router.process_faults.record():
-        await asyncio.sleep(run.random.uniform(0.5, 6))
+        await asyncio.sleep(seconds)
     run.record_event(f"{router.name} is resumed")
     router.send_signal(signal.SIGCONT)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Run the soak briefly with fixed seeds, on real router processes."""
 
 import asyncio
+import signal
 import socket
 import struct
 
@@ -21,6 +22,59 @@
     assert checker.outcomes["200"] > 20
 
 
+async def test_failing_service_is_repeated_within_the_budget_as_routers_die():
+    story = scenario.Story("error", signal.SIGKILL, alone=True)
+    checker = await scenario.run_seed(901, 26, routers=5, story=story)
+    assert checker.violations == [], checker.trace
+    worst = checker.repeats.worst()
+    assert worst is not None
+    assert worst.repeats > 50
+
+
+async def test_requests_end_where_paths_to_targets_were_cut():
+    story = scenario.Story(cuts=True, alone=True)
+    checker = await scenario.run_seed(903, 24, routers=4, story=story)
+    assert checker.violations == [], checker.trace
+    assert checker.outcomes["200"] > 20
+
+
+async def test_cut_proxy_loses_a_reset_and_delays_an_end():
+    readers = {}
+
+    async def accept(reader, writer):
+        readers[await reader.read(1)] = reader
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    proxy = proxy_module.Proxy(f"127.0.0.1:{port}")
+    await proxy.start()
+    host, _, port = proxy.address.rpartition(":")
+    writers = {}
+    for name in (b"reset", b"ended"):
+        _, writers[name] = await asyncio.open_connection(host, int(port))
+        writers[name].write(name[:1])
+    await asyncio.sleep(0.2)
+    proxy.mode = proxy_module.Mode.CUT
+    writers[b"reset"].get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writers[b"reset"].transport.abort()
+    writers[b"ended"].close()
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.3):
+            await asyncio.open_connection(host, int(port))
+    assert not readers[b"e"].at_eof()
+    proxy.mode = proxy_module.Mode.PASS
+    await asyncio.sleep(1)
+    assert readers[b"e"].at_eof()
+    assert not readers[b"r"].at_eof()
+    proxy.stop()
+    server.close()
+    await asyncio.sleep(0.1)
+
+
 async def test_stalled_proxy_drops_data_of_a_reset_connection():
     """A real link drops it too, as nobody retransmits the lost bytes."""
     received = []
