--- a/src/bulrushdale/forwarding/connections.py
+++ b/src/bulrushdale/forwarding/connections.py
@@ -221,7 +221,10 @@
         if transport is not None and (self.awaiting_head or self.should_close):
             self._log_abandoned(transport)
             reset_on_close(transport)
-        super().close()
+            # A close waits until the rest of the request is sent.
+            self.abort()
+        else:
+            super().close()
 
     def _log_abandoned(self, transport: asyncio.Transport) -> None:
         if not self.id_header:
--- a/src/bulrushdale/forwarding/tunnel_server.py
+++ b/src/bulrushdale/forwarding/tunnel_server.py
@@ -210,7 +210,7 @@
         requests.cancel()
         responses.cancel()
         connections.reset_on_close(upstream[1].transport)
-        upstream[1].close()
+        upstream[1].transport.abort()
 
 
 async def _copy(
--- a/tests/test_lost_ends.py
+++ b/tests/test_lost_ends.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import contextlib
+import socket
 
 import aiohttp
 import pytest
 
+from bulrushdale.forwarding import connections
 from examples.standins import scripted_target
 from soak import proxy as proxy_module
 from tests import gateway_fixtures
@@ -14,6 +16,8 @@
 # A run without a word; the request goes on elsewhere after half a second.
 SILENT_RUN_S = 20.0
 CUT_S = 2.0
+# More than the kernel's buffers hold.
+BODY_BYTES = 32 << 20
 FIND_TIMEOUT_S = 5
 # Targets are told by then, once their path is back.
 TELL_TIMEOUT_S = 3.0
@@ -138,3 +142,24 @@
         await asyncio.sleep(CUT_S)
         first.proxy.mode = proxy_module.Mode.PASS
         await wait_for(lambda: "q1" not in first.at_work, TELL_TIMEOUT_S)
+
+
+async def test_request_that_its_target_does_not_read_is_withdrawn_at_once():
+    loop = asyncio.get_running_loop()
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        server.setblocking(False)
+        host, port = server.getsockname()
+        async with connections.open_session() as session:
+            sending = asyncio.create_task(
+                session.post(f"http://{host}:{port}/", data=b"x" * BODY_BYTES)
+            )
+            accepted, _ = await loop.sock_accept(server)
+            await asyncio.sleep(0.2)
+            sending.cancel()
+            await asyncio.sleep(0.1)
+            received = 0
+            with accepted, pytest.raises(ConnectionResetError):
+                while True:
+                    received += len(await loop.sock_recv(accepted, 1 << 20))
+                    await asyncio.sleep(0.01)
+            assert received < BODY_BYTES / 2
