--- a/src/bulrushdale/forwarding/metrics.py
+++ b/src/bulrushdale/forwarding/metrics.py
@@ -103,6 +103,8 @@
         service.
     :ivar permits: requests for permits of targets that limit their requests,
         by outcome.
+    :ivar endings: requests to targets that were given up, by how their ends
+        arrived.
     :ivar relays: requests to other routers for a tunnel to a target, by
         outcome.
     :ivar resumed_streams: streams that callers took up, by outcome.
@@ -117,6 +119,7 @@
         "store_reads",
         "target_crashes",
         "permits",
+        "endings",
         "relays",
         "resumed_streams",
         "_gauges",
@@ -155,6 +158,10 @@
             "bulrushdale_permits",
             "Requests for permits of limited targets by outcome.",
         )
+        self.endings = Instrument(
+            "bulrushdale_endings",
+            "Requests to targets that were given up by how the end arrived.",
+        )
         self.relays = Instrument(
             "bulrushdale_relays",
             "Requests to other routers for a tunnel to a target by outcome.",
@@ -193,6 +200,7 @@
             self.store_reads,
             self.target_crashes,
             self.permits,
+            self.endings,
             self.relays,
             self.resumed_streams,
         ):
--- a/src/bulrushdale/forwarding/tunnel_server.py
+++ b/src/bulrushdale/forwarding/tunnel_server.py
@@ -4,8 +4,10 @@
 """
 
 import asyncio
+from collections import abc
 import logging
 import socket
+import typing
 
 import orjson
 
@@ -37,6 +39,8 @@
     :param selection: tells whether this router reaches a service.
     :param prober: learns which targets can't be reached.
     :param state: counts the tunnels, and tells whether the router drains.
+    :param end: ends a connection whose response isn't awaited any more; also
+        gets an object that owns the connection.
     """
 
     __slots__ = (
@@ -45,6 +49,7 @@
         "_selection",
         "_prober",
         "_state",
+        "_end",
         "_server",
     )
 
@@ -55,12 +60,14 @@
         selection: selection_module.Selection,
         prober: probes.Prober,
         state: callers.GatewayState,
+        end: abc.Callable[[asyncio.Transport, object], None],
     ) -> None:
         self._targets = targets
         self._peers = peers
         self._selection = selection
         self._prober = prober
         self._state = state
+        self._end = end
         self._server: asyncio.Server | None = None
 
     async def start(self, sock: socket.socket) -> None:
@@ -118,7 +125,9 @@
                     "tunnels": self._state.tunnels,
                 },
             )
-            if upstream is None or await _join((reader, writer), upstream):
+            if upstream is None or await self._carry(
+                (reader, writer), upstream
+            ):
                 connections.end_on_close(writer.transport)
         except (OSError, TimeoutError, ValueError) as error:
             LOG.info(
@@ -129,6 +138,17 @@
             self._state.tunnels -= 1
             writer.close()
 
+    async def _carry(self, downstream: _Streams, upstream: _Streams) -> bool:
+        """Pass bytes on until either end closes, and end the request.
+
+        :return: as for :func:`_join`.
+        """
+        _, writer = upstream
+        try:
+            return await _join(downstream, upstream)
+        finally:
+            self._end(typing.cast(asyncio.Transport, writer.transport), writer)
+
     async def _receive(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> tuple[targets_module.Target | None, relays.Answer]:
@@ -209,8 +229,6 @@
     finally:
         requests.cancel()
         responses.cancel()
-        connections.reset_on_close(upstream[1].transport)
-        upstream[1].transport.abort()
 
 
 async def _copy(
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -19,6 +19,7 @@
 from bulrushdale.forwarding import context as context_module
 from bulrushdale.forwarding import crashes
 from bulrushdale.forwarding import drain as drain_module
+from bulrushdale.forwarding import endings as endings_module
 from bulrushdale.forwarding import gauges
 from bulrushdale.forwarding import logs
 from bulrushdale.forwarding import metrics as metrics_module
@@ -156,18 +157,24 @@
         settings = self.settings
         clock = self._clock
         response_class = connections.make_response_class(headers.REQUEST_ID)
+        self._metrics = metrics_module.Metrics()
+        endings = endings_module.Endings(clock, self._count_end)
+        self._stack.callback(endings.close)
         sessions = [
             await self._stack.enter_async_context(session)
             for session in (
-                connections.open_session(response_class=response_class),
                 connections.open_session(
-                    connections.AT_MOST_ONCE_IDLE_LIMIT_MS, response_class
+                    response_class=response_class, end=endings.end
+                ),
+                connections.open_session(
+                    connections.AT_MOST_ONCE_IDLE_LIMIT_MS,
+                    response_class,
+                    end=endings.end,
                 ),
                 connections.open_session(),
             )
         ]
         session, at_most_once_session, internal_session = sessions
-        self._metrics = metrics_module.Metrics()
         self._store = store_module.Store(
             internal_session, f"http://{settings.store_address}"
         )
@@ -261,7 +268,7 @@
             connections.open_session(
                 response_class=response_class,
                 connector=connections.prepare_connector(
-                    tunnel_client.make_connector()
+                    tunnel_client.make_connector(), endings.end
                 ),
             )
         )
@@ -323,6 +330,7 @@
             self._context.selection,
             self._prober,
             self._state,
+            endings.end,
         )
         gauges.register(
             self._metrics,
@@ -398,6 +406,9 @@
             1, {"service": crash.target.listing.service}
         )
 
+    def _count_end(self, outcome: str) -> None:
+        self._metrics.endings.record(1, {"outcome": outcome})
+
     def _count_read(self, replica: str, outcome: str) -> None:
         self._metrics.store_reads.record(
             1, {"feed": replica, "outcome": outcome}
--- a/tests/test_lost_ends.py
+++ b/tests/test_lost_ends.py
@@ -16,6 +16,9 @@
 # A run without a word; the request goes on elsewhere after half a second.
 SILENT_RUN_S = 20.0
 CUT_S = 2.0
+FAILOVER_S = 1.0
+# To open a connection to each target, which the next request uses.
+WARM_UP_REQUESTS = 8
 # More than the kernel's buffers hold.
 BODY_BYTES = 32 << 20
 FIND_TIMEOUT_S = 5
@@ -144,6 +147,26 @@
         await wait_for(lambda: "q1" not in first.at_work, TELL_TIMEOUT_S)
 
 
+async def test_request_given_up_in_a_cut_is_not_delivered_after_it(fleet):
+    (router,) = fleet.processes
+    for target in fleet.silent_targets:
+        target.silent = False
+    for number in range(WARM_UP_REQUESTS):
+        async with sent_stream(router, f"w{number}") as sending:
+            await sending
+    for target in fleet.silent_targets:
+        assert target.target.received
+        target.proxy.mode = proxy_module.Mode.CUT
+    async with sent_stream(router, "q1"):
+        await asyncio.sleep(FAILOVER_S)
+    await asyncio.sleep(CUT_S)
+    for target in fleet.silent_targets:
+        target.proxy.mode = proxy_module.Mode.PASS
+    await asyncio.sleep(TELL_TIMEOUT_S)
+    for target in fleet.silent_targets:
+        assert "q1" not in [r.request_id for r in target.target.received]
+
+
 async def test_request_that_its_target_does_not_read_is_withdrawn_at_once():
     loop = asyncio.get_running_loop()
     with socket.create_server(("127.0.0.1", 0)) as server:
