--- a/tests/test_lost_ends.py
+++ b/tests/test_lost_ends.py
@@ -10,6 +10,7 @@
 from bulrushdale.forwarding import connections
 from examples.standins import scripted_target
 from soak import proxy as proxy_module
+from tests import cut_off
 from tests import gateway_fixtures
 from tests import router_processes
 
@@ -82,13 +83,13 @@
 
 
 @contextlib.asynccontextmanager
-async def sent_stream(router, request_id):
+async def sent_stream(url, request_id):
     """Send the request of a stream that may be repeated."""
     async with aiohttp.ClientSession() as caller:
 
         async def send():
             async with caller.post(
-                router.url("/plan/x"),
+                url,
                 headers={
                     "Host": "example.test",
                     "X-Request-Id": request_id,
@@ -124,7 +125,7 @@
     fleet,
 ):
     (router,) = fleet.processes
-    async with sent_stream(router, "q1"):
+    async with sent_stream(router.url("/plan/x"), "q1"):
         first, (second,) = await first_at_work(fleet, "q1")
         first.proxy.mode = proxy_module.Mode.CUT
         await wait_for(lambda: "q1" in second.at_work, FIND_TIMEOUT_S)
@@ -138,7 +139,7 @@
     fleet,
 ):
     (router,) = fleet.processes
-    async with sent_stream(router, "q1") as sending:
+    async with sent_stream(router.url("/plan/x"), "q1") as sending:
         first, _ = await first_at_work(fleet, "q1")
         first.proxy.mode = proxy_module.Mode.CUT
         sending.cancel()
@@ -147,17 +148,50 @@
         await wait_for(lambda: "q1" not in first.at_work, TELL_TIMEOUT_S)
 
 
+async def test_request_whose_caller_left_ends_behind_a_relay_cut_off_before():
+    async with gateway_fixtures.running_deployment("t1") as deployment:
+        deployment.silent_targets = [SilentTarget()]
+        (target,) = deployment.silent_targets
+        await target.start(deployment.stack)
+        await deployment.publish(version=2, timeout_ms=int(SILENT_RUN_S * 1e3))
+        await deployment.store.put(
+            "keyed.servers",
+            "t1",
+            gateway_fixtures.make_entry(target.proxy.address, started_ms=2),
+        )
+        network = cut_off.Network(asyncio.get_running_loop())
+        network.ports = {int(target.proxy.address.rpartition(":")[2])}
+        network.cut_off["r2"] = ConnectionRefusedError()
+        router = await network.start_router(
+            deployment,
+            "r2",
+            host="127.0.0.2",
+            relay_port=deployment.routers[0].settings.relay_port,
+        )
+        await deployment.wait_ready(router)
+        # Routers report to each other four times a second.
+        await asyncio.sleep(1)
+        url = deployment.url("/plan/x", router)
+        async with sent_stream(url, "q1") as sending:
+            first, _ = await first_at_work(deployment, "q1")
+            first.proxy.mode = proxy_module.Mode.CUT
+            sending.cancel()
+            await asyncio.sleep(CUT_S)
+            first.proxy.mode = proxy_module.Mode.PASS
+            await wait_for(lambda: "q1" not in first.at_work, TELL_TIMEOUT_S)
+
+
 async def test_request_given_up_in_a_cut_is_not_delivered_after_it(fleet):
     (router,) = fleet.processes
     for target in fleet.silent_targets:
         target.silent = False
     for number in range(WARM_UP_REQUESTS):
-        async with sent_stream(router, f"w{number}") as sending:
+        async with sent_stream(router.url("/plan/x"), f"w{number}") as sending:
             await sending
     for target in fleet.silent_targets:
         assert target.target.received
         target.proxy.mode = proxy_module.Mode.CUT
-    async with sent_stream(router, "q1"):
+    async with sent_stream(router.url("/plan/x"), "q1"):
         await asyncio.sleep(FAILOVER_S)
     await asyncio.sleep(CUT_S)
     for target in fleet.silent_targets:
