--- a/src/bulrushdale/daemon.py
+++ b/src/bulrushdale/daemon.py
@@ -27,6 +27,7 @@
 from bulrushdale.fleet import targets as targets_module
 from bulrushdale import follower
 from bulrushdale.forwarding import connections
+from bulrushdale.forwarding import endings as endings_module
 from bulrushdale import peering as peering_module
 from bulrushdale.platform import log as log_module
 from bulrushdale.platform import store as store_module
@@ -53,17 +54,20 @@
 DRAIN_POLL_MS = 50
 
 
-def open_session(keep_alive: bool) -> aiohttp.ClientSession:
+def open_session(
+    keep_alive: bool, end: connections.End = connections.reset
+) -> aiohttp.ClientSession:
     """Return an HTTP session to targets and the store.
 
     :param keep_alive: whether connections are used for several requests.
+    :param end: ends a connection whose response isn't awaited any more.
     """
     if keep_alive:
         connector = connections.make_connector(
-            keepalive_timeout=KEEP_ALIVE_MS / 1000
+            end, keepalive_timeout=KEEP_ALIVE_MS / 1000
         )
     else:
-        connector = connections.make_connector(force_close=True)
+        connector = connections.make_connector(end, force_close=True)
     return aiohttp.ClientSession(connector=connector)
 
 
@@ -181,11 +185,13 @@
         self._clock = clock_module.Clock()
         self._probed_ms = 0
         self._stack = contextlib.AsyncExitStack()
+        endings = endings_module.Endings(self._clock)
+        self._stack.callback(endings.close)
         session = await self._stack.enter_async_context(
-            open_session(keep_alive=True)
+            open_session(keep_alive=True, end=endings.end)
         )
         at_most_once_session = await self._stack.enter_async_context(
-            open_session(keep_alive=False)
+            open_session(keep_alive=False, end=endings.end)
         )
         self._context, frame_handler = build_context(
             self.settings, self._clock, session, at_most_once_session
--- a/src/bulrushdale/forwarding/connections.py
+++ b/src/bulrushdale/forwarding/connections.py
@@ -84,7 +84,7 @@
 
 def _set_linger(transport: asyncio.BaseTransport, linger: bytes) -> None:
     sock = transport.get_extra_info("socket")
-    if sock is not None:
+    if sock is not None and sock.fileno() >= 0:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
--- a/src/bulrushdale/forwarding/endings.py
+++ b/src/bulrushdale/forwarding/endings.py
@@ -25,7 +25,7 @@
 CUT_AFTER_MS = 250
 # Targets that may be cut off are checked again this often.
 CUT_INTERVAL_MS = 250
-# No request has a later deadline, at which targets stop by themselves.
+# Twice the longest usual deadline, at which targets stop by themselves.
 MAX_ENDING_MS = 30_000
 # Connections that are kept for their end; beyond that the oldest are reset.
 MAX_ENDINGS = 512
@@ -101,12 +101,12 @@
             another protocol after the call unless it is closed.
         :param owner: as for :class:`_Ending`.
         """
-        has_request = (
+        is_received = (
             not transport.is_closing()
             and not transport.get_write_buffer_size()
             and connections.unacknowledged_segments(transport) == 0
         )
-        if not has_request or not connections.send_end(
+        if not is_received or not connections.send_end(
             transport, MAX_ENDING_MS
         ):
             connections.reset(transport)
