--- a/src/bulrushdale/routing/targets.py
+++ b/src/bulrushdale/routing/targets.py
@@ -104,6 +104,7 @@
         "slow_until_ms",
         "listed_ms",
         "backoff_until_ms",
+        "_backoff_as_of_ms",
         "limit_per_s",
         "limit_as_of_ms",
         "max_rejections_per_s",
@@ -129,6 +130,7 @@
         self.slow_until_ms = clock.now_ms() + listing.slow_start_ms
         self.listed_ms = clock.now_ms()
         self.backoff_until_ms = 0
+        self._backoff_as_of_ms: int | None = None
         self.limit_per_s: float | None = None
         self.limit_as_of_ms: int | None = None
         self.max_rejections_per_s: float | None = None
@@ -144,18 +146,29 @@
         self._next_half_open_ms = 0
         self._clock = clock
 
-    def take_over(self, earlier: "Target") -> None:
-        """Take over what the same start of the target stated earlier.
+    def take_over(self, earlier: "Target", since_ms: int = 0) -> None:
+        """Take over what this start of the target has stated already.
 
-        :param earlier: the target before its entry was removed.
+        :param earlier: the target before its entry was removed, or the start
+            before, which was listed until now.
+        :param since_ms: when this start began, in ms of the clock; an earlier
+            statement is that of another start.
         """
-        self.backoff_until_ms = earlier.backoff_until_ms
-        self._half_open = earlier._half_open
-        self._next_half_open_ms = earlier._next_half_open_ms
-        self.limit_per_s = earlier.limit_per_s
-        self.limit_as_of_ms = earlier.limit_as_of_ms
-        self.max_rejections_per_s = earlier.max_rejections_per_s
-        self._brittle_as_of_ms = earlier._brittle_as_of_ms
+
+        def is_own(as_of_ms: int | None) -> bool:
+            return as_of_ms is not None and as_of_ms >= since_ms
+
+        if is_own(earlier._backoff_as_of_ms):
+            self.backoff_until_ms = earlier.backoff_until_ms
+            self._backoff_as_of_ms = earlier._backoff_as_of_ms
+            self._half_open = earlier._half_open
+            self._next_half_open_ms = earlier._next_half_open_ms
+        if is_own(earlier.limit_as_of_ms):
+            self.limit_per_s = earlier.limit_per_s
+            self.limit_as_of_ms = earlier.limit_as_of_ms
+        if is_own(earlier._brittle_as_of_ms):
+            self.max_rejections_per_s = earlier.max_rejections_per_s
+            self._brittle_as_of_ms = earlier._brittle_as_of_ms
 
     @property
     def has_stated_limits(self) -> bool:
@@ -201,7 +214,9 @@
 
         :param retry_after_ms: the time that it asked for, in ms.
         """
-        until_ms = self._clock.now_ms() + backoff.duration_ms(retry_after_ms)
+        now_ms = self._clock.now_ms()
+        until_ms = now_ms + backoff.duration_ms(retry_after_ms)
+        self._backoff_as_of_ms = now_ms
         self.backoff_until_ms = max(self.backoff_until_ms, until_ms)
         self._half_open = True
 
@@ -440,6 +455,10 @@
             _, earlier = self._removed.pop(start, (0, None))
             if earlier is not None:
                 target.take_over(earlier)
+            elif known is not None:
+                # It may have answered requests before its entry was read.
+                age_ms = self._clock.wall_ms() - listing.started_ms
+                target.take_over(known, self._clock.now_ms() - age_ms)
             self._add(target)
             return
         if listing.leaving and not known.leaving:
--- a/tests/test_route_targets.py
+++ b/tests/test_route_targets.py
@@ -84,6 +84,29 @@
     assert active_ids(targets) == ["t1"]
 
 
+def test_start_keeps_what_it_stated_before_its_entry_was_read(targets, clock):
+    targets.put(dataclasses.replace(LISTING, started_ms=clock.wall_ms()))
+    clock.advance(5_000)
+    started_ms = clock.wall_ms()
+    clock.advance(300)
+    targets.require("t1").back_off(1_500)
+    targets.require("t1").set_limit(5.0, clock.now_ms())
+    clock.advance(100)
+    targets.put(dataclasses.replace(LISTING, started_ms=started_ms))
+    assert targets.require("t1").backing_off
+    assert targets.require("t1").limit_per_s == 5.0
+
+
+def test_start_forgets_what_the_start_before_it_stated(targets, clock):
+    targets.put(dataclasses.replace(LISTING, started_ms=clock.wall_ms()))
+    targets.require("t1").back_off(60_000)
+    targets.require("t1").set_limit(5.0, clock.now_ms())
+    clock.advance(5_000)
+    targets.put(dataclasses.replace(LISTING, started_ms=clock.wall_ms()))
+    assert not targets.require("t1").backing_off
+    assert targets.require("t1").limit_per_s is None
+
+
 def test_start_that_is_listed_again_keeps_what_it_stated(targets, clock):
     """Its back-off was forgotten, and requests reached it at once."""
     target = targets.require("t1")
