--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -13,6 +13,8 @@
 _SO_ATTACH_FILTER = 26
 _SO_DETACH_FILTER = 27
 _RETURN_ZERO = ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0))
+# Linux: state of a connection that was reset.
+_TCP_CLOSE = 7
 _DROP_ALL = struct.pack("HP", 1, ctypes.addressof(_RETURN_ZERO))
 
 
@@ -122,7 +124,7 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
                 await self._apply_mode(is_reply)
-                if isinstance(reader.exception(), ConnectionResetError):
+                if self._is_reset(reader):
                     # The sender reset its connection during the stall. A real
                     # network would have lost the held data, so drop it.
                     break
@@ -132,6 +134,19 @@
             await asyncio.sleep(0.05)
         writer.close()
 
+    def _is_reset(self, reader: asyncio.StreamReader) -> bool:
+        """Return whether the sender has reset its connection.
+
+        After an orderly end asyncio reads no more, and only the kernel knows.
+        """
+        if isinstance(reader.exception(), ConnectionResetError):
+            return True
+        sock = reader._transport.get_extra_info("socket")  # type: ignore
+        if sock is None or sock.fileno() < 0:
+            return True
+        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        return bool(state == _TCP_CLOSE)
+
     async def _apply_mode(self, is_reply: bool) -> None:
         """Delay data, or hold it until a stall ends."""
         if self.mode is Mode.DELAY:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -75,7 +75,8 @@
     await asyncio.sleep(0.1)
 
 
-async def test_stalled_proxy_drops_data_of_a_reset_connection():
+@pytest.mark.parametrize("ends_first", [False, True])
+async def test_stalled_proxy_drops_data_of_a_reset_connection(ends_first):
     """A real link drops it too, as nobody retransmits the lost bytes."""
     received = []
 
@@ -92,6 +93,9 @@
     _, writer = await asyncio.open_connection(host, int(port))
     writer.write(b"given up")
     await asyncio.sleep(0.2)
+    if ends_first:
+        writer.write_eof()
+        await asyncio.sleep(0.2)
     writer.get_extra_info("socket").setsockopt(
         socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
     )
