--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -74,6 +74,7 @@
 
     def stop(self) -> None:
         """Stop listening, and end all connections."""
+        self.mode = Mode.PASS
         if self._server is not None:
             self._server.close()
         self.reset()
