--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -273,7 +273,8 @@
     report = rate_limits.LimitReport("t1", listing.started_ms, 5.0, 0)
     targets.merge_limit(report)
     assert targets.require("t1").limit_per_s == 5.0
-    targets.put(dataclasses.replace(listing, started_ms=999))
+    clock.advance(1_000)
+    targets.put(dataclasses.replace(listing, started_ms=clock.wall_ms()))
     targets.merge_limit(report)
     assert targets.require("t1").limit_per_s is None
 
