--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -152,7 +152,7 @@
         """Delay data, or hold it until a stall ends."""
         if self.mode is Mode.DELAY:
             await asyncio.sleep(0.1)
-        # What came before a cut has arrived, unlike replies.
+        # The proxy's kernel acknowledged this data before the cut.
         while self.mode is Mode.STALL or (  # noqa: ASYNC110
             is_reply and self.mode in (Mode.STALL_REPLIES, Mode.CUT)
         ):
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -43,7 +43,7 @@
 )
 # Requests that come at a steady rate, whatever becomes of those before.
 STEADY_GAP_S = 0.006
-# Share of them that run long without a word, and how long.
+# Share of them whose first event comes late, and after what time.
 SILENT_SHARE = 0.04
 SILENT_RUN_S = 9.0
 # Share of the runs that fail while the whole service does.
--- a/src/bulrushdale/forwarding/endings.py
+++ b/src/bulrushdale/forwarding/endings.py
@@ -25,7 +25,7 @@
 CUT_AFTER_MS = 250
 # Targets that may be cut off are checked again this often.
 CUT_INTERVAL_MS = 250
-# Twice the longest usual deadline, at which targets stop by themselves.
+# Targets stop by themselves at the deadlines of their requests.
 MAX_ENDING_MS = 30_000
 # Connections that are kept for their end; beyond that the oldest are reset.
 MAX_ENDINGS = 512
