--- a/src/bulrushdale/daemon.py
+++ b/src/bulrushdale/daemon.py
@@ -28,6 +28,7 @@
 from bulrushdale import follower
 from bulrushdale.forwarding import connections
 from bulrushdale.forwarding import endings as endings_module
+from bulrushdale.forwarding import sessions
 from bulrushdale import peering as peering_module
 from bulrushdale.platform import log as log_module
 from bulrushdale.platform import store as store_module
@@ -55,7 +56,7 @@
 
 
 def open_session(
-    keep_alive: bool, end: connections.End = connections.reset
+    keep_alive: bool, end: sessions.End = connections.reset
 ) -> aiohttp.ClientSession:
     """Return an HTTP session to targets and the store.
 
@@ -63,11 +64,11 @@
     :param end: ends a connection whose response isn't awaited any more.
     """
     if keep_alive:
-        connector = connections.make_connector(
+        connector = sessions.make_connector(
             end, keepalive_timeout=KEEP_ALIVE_MS / 1000
         )
     else:
-        connector = connections.make_connector(end, force_close=True)
+        connector = sessions.make_connector(end, force_close=True)
     return aiohttp.ClientSession(connector=connector)
 
 
--- a/src/bulrushdale/fleet/targets.py
+++ b/src/bulrushdale/fleet/targets.py
@@ -9,7 +9,7 @@
 from bulrushdale.catalogue import entries
 from bulrushdale.catalogue import view as view_module
 from bulrushdale import clock as clock_module
-from bulrushdale.forwarding import connections
+from bulrushdale.forwarding import sessions
 from bulrushdale import hashing
 from bulrushdale.platform import vms
 
@@ -241,9 +241,7 @@
         async with session.get(
             f"{target.url}/load", timeout=timeout
         ) as response:
-            body = await connections.read_bounded(
-                response, MAX_LOAD_REPORT_BYTES
-            )
+            body = await sessions.read_bounded(response, MAX_LOAD_REPORT_BYTES)
             report = orjson.loads(body)
             targets.record_probe(
                 target, int(report["running"]), bool(report["leaving"])
--- a/src/bulrushdale/forwarding/peer_transport.py
+++ b/src/bulrushdale/forwarding/peer_transport.py
@@ -24,6 +24,7 @@
 from bulrushdale.forwarding import connections
 from bulrushdale.forwarding import permits
 from bulrushdale.forwarding import replica as replica_module
+from bulrushdale.forwarding import sessions
 from bulrushdale import records
 from bulrushdale.routing import blocked_requests
 from bulrushdale.routing import crash_evidence
@@ -594,7 +595,7 @@
             ) as response:
                 if response.status != 200:
                     return None
-                body = await connections.read_bounded(
+                body = await sessions.read_bounded(
                     response, MAX_RESPONSE_BYTES
                 )
             age_ms, page = decode_records(body)
--- a/src/bulrushdale/forwarding/servers.py
+++ b/src/bulrushdale/forwarding/servers.py
@@ -7,6 +7,7 @@
 
 from bulrushdale.forwarding import connections
 from bulrushdale.forwarding import ports
+from bulrushdale.forwarding import sessions
 
 # Callers reuse connections that were idle for up to 12 s. An open connection
 # costs little; closing one early costs its caller an attempt.
@@ -29,8 +30,8 @@
         keepalive_timeout=CALLER_KEEPALIVE_S,
         # Targets get the bytes that callers send.
         auto_decompress=False,
-        max_line_size=connections.MAX_FIELD_BYTES,
-        max_field_size=connections.MAX_FIELD_BYTES,
+        max_line_size=sessions.MAX_FIELD_BYTES,
+        max_field_size=sessions.MAX_FIELD_BYTES,
     )
 
 
--- /dev/null
+++ b/src/bulrushdale/forwarding/sessions.py
@@ -0,0 +1,296 @@
+"""HTTP client sessions for targets, the store and other routers."""
+
+import asyncio
+from collections import abc
+import functools
+import logging
+import socket
+import typing
+
+import aiohttp
+from aiohttp import client_proto
+
+from bulrushdale.forwarding import connections
+
+LOG = logging.getLogger(__name__)
+
+# Connections idle for longer aren't reused. Targets close idle connections
+# after some seconds, possibly while a request is in transit.
+IDLE_LIMIT_MS = 2_000
+# Shorter limit for requests that must not be repeated: after a reset it would
+# be unknown whether they ran.
+AT_MOST_ONCE_IDLE_LIMIT_MS = 500
+_HEAD_END = b"\r\n\r\n"
+# Stray responses up to this size are read and discarded to keep the
+# connection. For larger ones a new connection costs less.
+MAX_STRAY_BYTES = 1 << 20
+# So are this many for one request. Usual targets send one late response.
+MAX_STRAY_RESPONSES = 8
+# Routes with long prompts list all prompt parts in one header field.
+MAX_FIELD_BYTES = 65_536
+
+
+def _make_socket(address: typing.Any) -> socket.socket:
+    family, kind, proto, _, _ = address
+    return connections.make_socket(family, kind, proto)
+
+
+# Ends a connection whose response isn't awaited any more.
+End = abc.Callable[[asyncio.Transport], None]
+
+
+class _Protocol(client_proto.ResponseHandler):
+    """Reads responses, and discards those to other requests.
+
+    :param loop: the event loop.
+    :param end: ends the connection if its response isn't awaited any more.
+        Either closes the transport, or gives it another protocol.
+
+    :ivar id_header: name of the header that carries the request id.
+    :ivar expected_id: id of the current request; none accepts any response.
+    :ivar awaiting_head: whether the response head is still to come.
+    :ivar unidentified: whether the last response may belong to an earlier
+        request: it has no id, and the connection was in use before.
+    """
+
+    id_header = ""
+    expected_id: str | None = None
+    awaiting_head = False
+    unidentified = False
+    _has_responded = False
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, end: End) -> None:
+        super().__init__(loop)
+        self._end = end
+
+    def data_received(self, data: bytes) -> None:
+        """Parse a response head separately from the bytes that follow it.
+
+        The parser returns nothing from data in which it finds an error.
+        Without the split, invalid bytes after a valid head would lose the
+        head as well.
+        """
+        end = data.find(_HEAD_END) if self.awaiting_head else -1
+        if end < 0:
+            super().data_received(data)
+            return
+        end += len(_HEAD_END)
+        super().data_received(data[:end])
+        if len(data) > end:
+            super().data_received(data[end:])
+
+    async def read(self) -> tuple[typing.Any, typing.Any]:
+        """Return the next response with the expected request id or without.
+
+        A target may send a second response to an earlier request, which then
+        arrives in place of the expected response.
+
+        :raises ClientPayloadError: if there are too many others; the
+            connection is closed.
+        """
+        self.awaiting_head = True
+        for _ in range(1 + MAX_STRAY_RESPONSES):
+            message, payload = await super().read()
+            response_id = message.headers.get(self.id_header)
+            if response_id is None or self.expected_id in (None, response_id):
+                self.awaiting_head = False
+                self.unidentified = (
+                    bool(self.id_header)
+                    and response_id is None
+                    and self._has_responded
+                )
+                if self.unidentified:
+                    # The response to this request may still come.
+                    self.force_close()
+                self._has_responded = True
+                return message, payload
+            LOG.warning(
+                "discarded a response to another request",
+                extra={
+                    "event": "answer.stray",
+                    "request_id": self.expected_id,
+                    "found": response_id,
+                    "status": message.code,
+                },
+            )
+            await self._discard_body(payload)
+        self.close()
+        raise aiohttp.ClientPayloadError(
+            f"over {MAX_STRAY_RESPONSES} responses to other requests"
+        )
+
+    async def _discard_body(self, payload: aiohttp.StreamReader) -> None:
+        """Read and discard the body of a stray response.
+
+        :raises ClientPayloadError: if it is too large; the connection is
+            closed.
+        """
+        size_bytes = 0
+        while not payload.at_eof():
+            size_bytes += len(await payload.readany())
+            if size_bytes > MAX_STRAY_BYTES:
+                self.close()
+                raise aiohttp.ClientPayloadError(
+                    f"a stray response has over {MAX_STRAY_BYTES} bytes"
+                )
+
+    def close(self) -> None:
+        """Close the connection; end the request unless it is complete.
+
+        After an orderly close the kernel keeps sending the request. A link
+        that was down would deliver it when it recovers, long after another
+        target has responded.
+        """
+        transport = self.transport
+        if transport is None or not (self.awaiting_head or self.should_close):
+            super().close()
+            return
+        self._log_abandoned(transport)
+        self._end(transport)
+        if transport.get_protocol() is not self:
+            self._loop.call_soon(self.connection_lost, None)
+        self._exception = None
+        self._payload = None
+        self.transport = None
+        self._drop_timeout()
+
+    def _log_abandoned(self, transport: asyncio.Transport) -> None:
+        if not self.id_header:
+            return
+        LOG.info(
+            "connection closed before the end of its response",
+            extra={
+                "event": "answer.abandoned",
+                "request_id": self.expected_id,
+                "peer": connections.format_address(
+                    transport.get_extra_info("peername")
+                ),
+                "unsent_bytes": transport.get_write_buffer_size(),
+                "unacknowledged": connections.unacknowledged_segments(
+                    transport
+                ),
+            },
+        )
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail a response without a length if its connection was reset.
+
+        aiohttp treats any end of the connection as the end of such a
+        response.
+        """
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(
+                aiohttp.ClientPayloadError(f"connection lost: {exc}")
+            )
+        super().connection_lost(exc)
+
+
+async def read_bounded(
+    response: aiohttp.ClientResponse, max_bytes: int
+) -> bytes:
+    """Return the body of a response, up to a maximum size.
+
+    :param response: the response.
+    :param max_bytes: maximum size of the body, in bytes.
+    :raises ClientPayloadError: if the body is larger; the connection is
+        closed.
+    """
+    body = bytearray()
+    async for data in response.content.iter_any():
+        body += data
+        if len(body) > max_bytes:
+            response.close()
+            raise aiohttp.ClientPayloadError(
+                f"the body has over {max_bytes} bytes"
+            )
+    return bytes(body)
+
+
+def make_response_class(id_header: str) -> type[aiohttp.ClientResponse]:
+    """Return a response class that tells its connection the request id.
+
+    The connection discards responses that carry another id.
+
+    :param id_header: name of the header that carries the request id.
+    """
+
+    class Response(aiohttp.ClientResponse):
+        #: Whether it may belong to an earlier request on its connection.
+        unidentified = False
+
+        async def start(
+            self, connection: typing.Any
+        ) -> aiohttp.ClientResponse:
+            protocol = connection.protocol
+            protocol.id_header = id_header
+            protocol.expected_id = self.request_info.headers.get(id_header)
+            await super().start(connection)
+            self.unidentified = protocol.unidentified
+            return self
+
+    return Response
+
+
+def make_connector(
+    end: End = connections.reset, **options: typing.Any
+) -> aiohttp.TCPConnector:
+    """Return a connector that takes no broken response for a complete one.
+
+    :param end: as for :func:`prepare_connector`.
+    :param options: as for :class:`aiohttp.TCPConnector`.
+    """
+    return prepare_connector(aiohttp.TCPConnector(limit=0, **options), end)
+
+
+def prepare_connector(
+    connector: aiohttp.TCPConnector, end: End = connections.reset
+) -> aiohttp.TCPConnector:
+    """Let a connector take no broken response for a complete one.
+
+    :param connector: the connector.
+    :param end: ends a connection whose response isn't awaited any more.
+    """
+    connector._factory = functools.partial(  # type: ignore[assignment]
+        _Protocol, loop=connector._loop, end=end
+    )
+    return connector
+
+
+def open_session(
+    idle_limit_ms: int = IDLE_LIMIT_MS,
+    response_class: type[aiohttp.ClientResponse] = aiohttp.ClientResponse,
+    connector: aiohttp.TCPConnector | None = None,
+    end: End = connections.reset,
+) -> aiohttp.ClientSession:
+    """Return an HTTP client session that sends each request once.
+
+    :param idle_limit_ms: how long a connection may be idle before it is not
+        reused any more, in ms.
+    :param response_class: class of the responses.
+    :param connector: opens the connections; none to open them directly.
+    :param end: as for :func:`prepare_connector`, unless there is a connector.
+    """
+    if connector is None:
+        connector = make_connector(
+            end,
+            keepalive_timeout=idle_limit_ms / 1000,
+            socket_factory=_make_socket,
+        )
+    session = aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        response_class=response_class,
+        max_line_size=MAX_FIELD_BYTES,
+        max_field_size=MAX_FIELD_BYTES,
+        skip_auto_headers=(
+            "User-Agent",
+            "Accept",
+            "Accept-Encoding",
+            "Content-Type",
+        ),
+    )
+    # By default aiohttp resends GET requests when a connection is lost.
+    session._retry_connection = False
+    return session
--- a/src/bulrushdale/forwarding/stream_sync.py
+++ b/src/bulrushdale/forwarding/stream_sync.py
@@ -18,6 +18,7 @@
 
 from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import connections
+from bulrushdale.forwarding import sessions
 from bulrushdale.routing import peers as peers_module
 from bulrushdale.routing import versions
 
@@ -222,7 +223,7 @@
             ) as response:
                 if response.status != 200:
                     raise ValueError(f"status {response.status}")
-                body = await connections.read_bounded(response, MAX_PAGE_BYTES)
+                body = await sessions.read_bounded(response, MAX_PAGE_BYTES)
             return decode_page(body)
         except (
             aiohttp.ClientError,
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -15,7 +15,6 @@
 
 from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import callers
-from bulrushdale.forwarding import connections
 from bulrushdale.forwarding import context as context_module
 from bulrushdale.forwarding import crashes
 from bulrushdale.forwarding import drain as drain_module
@@ -28,6 +27,7 @@
 from bulrushdale.forwarding import probes
 from bulrushdale.forwarding import replica as replica_module
 from bulrushdale.forwarding import servers
+from bulrushdale.forwarding import sessions
 from bulrushdale.forwarding import settings as settings_module
 from bulrushdale.forwarding import stop_limit
 from bulrushdale.forwarding import stream_sync as stream_sync_module
@@ -156,25 +156,25 @@
         """Build the components and connect them."""
         settings = self.settings
         clock = self._clock
-        response_class = connections.make_response_class(headers.REQUEST_ID)
+        response_class = sessions.make_response_class(headers.REQUEST_ID)
         self._metrics = metrics_module.Metrics()
         endings = endings_module.Endings(clock, self._count_end)
         self._stack.callback(endings.close)
-        sessions = [
+        opened = [
             await self._stack.enter_async_context(session)
             for session in (
-                connections.open_session(
+                sessions.open_session(
                     response_class=response_class, end=endings.end
                 ),
-                connections.open_session(
-                    connections.AT_MOST_ONCE_IDLE_LIMIT_MS,
+                sessions.open_session(
+                    sessions.AT_MOST_ONCE_IDLE_LIMIT_MS,
                     response_class,
                     end=endings.end,
                 ),
-                connections.open_session(),
+                sessions.open_session(),
             )
         ]
-        session, at_most_once_session, internal_session = sessions
+        session, at_most_once_session, internal_session = opened
         self._store = store_module.Store(
             internal_session, f"http://{settings.store_address}"
         )
@@ -265,9 +265,9 @@
             self._peer_transport.send,
         )
         relay_session = await self._stack.enter_async_context(
-            connections.open_session(
+            sessions.open_session(
                 response_class=response_class,
-                connector=connections.prepare_connector(
+                connector=sessions.prepare_connector(
                     tunnel_client.make_connector(), endings.end
                 ),
             )
--- a/src/bulrushdale/platform/store.py
+++ b/src/bulrushdale/platform/store.py
@@ -17,6 +17,7 @@
 from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import connections
 from bulrushdale.forwarding import replica
+from bulrushdale.forwarding import sessions
 from bulrushdale import records as records_module
 
 LOG = logging.getLogger(__name__)
@@ -284,7 +285,7 @@
                 data=body,
                 timeout=timeout,
             ) as response:
-                data = await connections.read_bounded(
+                data = await sessions.read_bounded(
                     response, MAX_RESPONSE_BYTES
                 )
         except aiohttp.ClientConnectorError as error:
--- a/src/bulrushdale/platform/vms.py
+++ b/src/bulrushdale/platform/vms.py
@@ -7,7 +7,7 @@
 import aiohttp
 import orjson
 
-from bulrushdale.forwarding import connections
+from bulrushdale.forwarding import sessions
 from bulrushdale.platform import addresses
 
 LOG = logging.getLogger(__name__)
@@ -76,7 +76,7 @@
         ) as response:
             response.raise_for_status()
             return _decode(
-                await connections.read_bounded(response, MAX_LIST_BYTES)
+                await sessions.read_bounded(response, MAX_LIST_BYTES)
             )
 
 
--- a/src/bulrushdale/web/service_requests.py
+++ b/src/bulrushdale/web/service_requests.py
@@ -9,7 +9,7 @@
 from bulrushdale.admission import session as session_module
 from bulrushdale.catalogue import entries
 from bulrushdale.claims import claim_table
-from bulrushdale.forwarding import connections
+from bulrushdale.forwarding import sessions
 from bulrushdale import hashing
 from bulrushdale.web import caller as caller_module
 from bulrushdale.web import context as context_module
@@ -102,7 +102,7 @@
             timeout=timeout,
             allow_redirects=False,
         ) as response:
-            body = await connections.read_bounded(response, MAX_RESPONSE_BYTES)
+            body = await sessions.read_bounded(response, MAX_RESPONSE_BYTES)
             return claim_table.Outcome(
                 response.status, body, response.content_type
             )
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -12,9 +12,9 @@
 import pytest
 
 from bulrushdale.forwarding import attempt
-from bulrushdale.forwarding import connections
 from bulrushdale.forwarding import events
 from bulrushdale.forwarding import proxy
+from bulrushdale.forwarding import sessions
 from examples.standins import scripted_target
 from tests import gateway_fixtures
 
@@ -199,7 +199,7 @@
         for record in caplog.records
         if getattr(record, "event", "") == "answer.stray"
     ]
-    assert len(strays) <= 1 + connections.MAX_STRAY_RESPONSES
+    assert len(strays) <= 1 + sessions.MAX_STRAY_RESPONSES
     assert closed.is_set()
 
 
@@ -329,8 +329,8 @@
     target = deployment.targets[0]
     target.script = endless_script(unframed_head, BLOCK, asyncio.Event())
     async with (
-        connections.open_session() as session,
+        sessions.open_session() as session,
         session.get(f"http://{target.address}/") as response,
     ):
         with pytest.raises(aiohttp.ClientPayloadError):
-            await connections.read_bounded(response, 1 << 20)
+            await sessions.read_bounded(response, 1 << 20)
--- a/tests/test_lost_ends.py
+++ b/tests/test_lost_ends.py
@@ -7,7 +7,7 @@
 import aiohttp
 import pytest
 
-from bulrushdale.forwarding import connections
+from bulrushdale.forwarding import sessions
 from examples.standins import scripted_target
 from soak import proxy as proxy_module
 from tests import cut_off
@@ -206,7 +206,7 @@
     with socket.create_server(("127.0.0.1", 0)) as server:
         server.setblocking(False)
         host, port = server.getsockname()
-        async with connections.open_session() as session:
+        async with sessions.open_session() as session:
             sending = asyncio.create_task(
                 session.post(f"http://{host}:{port}/", data=b"x" * BODY_BYTES)
             )
