Log the connection that a refusal came on, and what it had carried

Two such lines of one request with the same connection show the first.

Also counts how requests to targets get their connection, as a fix may cost new ones. No decision changes.

--- a/src/bulrushdale/daemon.py
+++ b/src/bulrushdale/daemon.py
@@ -64,11 +64,11 @@
     :param end: ends a connection whose response isn't awaited any more.
     """
     if keep_alive:
-        connector = sessions.make_connector(
+        connector = sessions.Connector(
             end, keepalive_timeout=KEEP_ALIVE_MS / 1000
         )
     else:
-        connector = sessions.make_connector(end, force_close=True)
+        connector = sessions.Connector(end, force_close=True)
     return aiohttp.ClientSession(connector=connector)
 
 
--- a/src/bulrushdale/forwarding/attempt.py
+++ b/src/bulrushdale/forwarding/attempt.py
@@ -9,6 +9,7 @@
 import yarl
 
 from bulrushdale.forwarding import connections
+from bulrushdale.forwarding import sessions
 from bulrushdale.routing import messages
 
 _EVENT_STREAM = "text/event-stream"
@@ -26,6 +27,7 @@
     :param moved: whether the address now belongs to another target.
     :param timed_out: whether connecting timed out, without even a refusal.
     :param head: head of the response; none if there was no response.
+    :param use: the connection of the response; none if there was no response.
     """
 
     reason: str
@@ -33,6 +35,7 @@
     moved: bool = False
     timed_out: bool = False
     head: messages.ResponseHead | None = None
+    use: sessions.ConnectionUse | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -149,6 +152,9 @@
     if problem is None:
         return OpenResponse(head, response)
     response.close()
+    if isinstance(problem, NotRun):
+        use = getattr(response, "use", None)
+        return dataclasses.replace(problem, use=use)
     return problem
 
 
--- a/src/bulrushdale/forwarding/metrics.py
+++ b/src/bulrushdale/forwarding/metrics.py
@@ -105,6 +105,7 @@
         by outcome.
     :ivar endings: requests to targets that were given up, by how their ends
         arrived.
+    :ivar connections: requests to targets, by how they got their connection.
     :ivar relays: requests to other routers for a tunnel to a target, by
         outcome.
     :ivar resumed_streams: streams that callers took up, by outcome.
@@ -120,6 +121,7 @@
         "target_crashes",
         "permits",
         "endings",
+        "connections",
         "relays",
         "resumed_streams",
         "_gauges",
@@ -162,6 +164,10 @@
             "bulrushdale_endings",
             "Requests to targets that were given up by how the end arrived.",
         )
+        self.connections = Instrument(
+            "bulrushdale_connections",
+            "Requests to targets by how they got their connection.",
+        )
         self.relays = Instrument(
             "bulrushdale_relays",
             "Requests to other routers for a tunnel to a target by outcome.",
@@ -201,6 +207,7 @@
             self.target_crashes,
             self.permits,
             self.endings,
+            self.connections,
             self.relays,
             self.resumed_streams,
         ):
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -558,10 +558,13 @@
         self, target: targets_module.Target, outcome: attempt.NotRun
     ) -> None:
         """Log why a target didn't run the request, and update its state."""
+        use = outcome.use
         self._request_log.log(
             "request.not_run",
             target=target.target_id,
             reason=outcome.reason,
+            connection=use.address if use is not None else "",
+            carried=use.carried if use is not None else 0,
         )
         self._request_log.count_attempt(
             "rejected" if outcome.sent else "unreachable"
--- a/src/bulrushdale/forwarding/sessions.py
+++ b/src/bulrushdale/forwarding/sessions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import dataclasses
 import functools
 import logging
 import socket
@@ -9,6 +10,7 @@
 
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import connector as aiohttp_connector
 
 from bulrushdale.forwarding import connections
 
@@ -39,6 +41,18 @@
 End = abc.Callable[[asyncio.Transport], None]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionUse:
+    """The connection that a response came on.
+
+    :param address: IP and port of this router's end.
+    :param carried: number of requests that it had carried before.
+    """
+
+    address: str
+    carried: int
+
+
 class _Protocol(client_proto.ResponseHandler):
     """Reads responses, and discards those to other requests.
 
@@ -48,6 +62,7 @@
 
     :ivar id_header: name of the header that carries the request id.
     :ivar expected_id: id of the current request; none accepts any response.
+    :ivar carried: number of requests that the connection has carried.
     :ivar awaiting_head: whether the response head is still to come.
     :ivar unidentified: whether the last response may belong to an earlier
         request: it has no id, and the connection was in use before.
@@ -55,6 +70,7 @@
 
     id_header = ""
     expected_id: str | None = None
+    carried = 0
     awaiting_head = False
     unidentified = False
     _has_responded = False
@@ -63,6 +79,25 @@
         super().__init__(loop)
         self._end = end
 
+    def begin(self, id_header: str, request_id: str | None) -> ConnectionUse:
+        """Expect the response to a request that has been sent.
+
+        :param id_header: name of the header that carries the request id.
+        :param request_id: its id; none if it has none.
+        """
+        self.id_header = id_header
+        self.expected_id = request_id
+        use = ConnectionUse(self._address, self.carried)
+        self.carried += 1
+        return use
+
+    @property
+    def _address(self) -> str:
+        transport = self.transport
+        if transport is None:
+            return ""
+        return connections.format_address(transport.get_extra_info("sockname"))
+
     def data_received(self, data: bytes) -> None:
         """Parse a response head separately from the bytes that follow it.
 
@@ -111,6 +146,8 @@
                     "request_id": self.expected_id,
                     "found": response_id,
                     "status": message.code,
+                    "connection": self._address,
+                    "carried": self.carried,
                 },
             )
             await self._discard_body(payload)
@@ -218,13 +255,16 @@
     class Response(aiohttp.ClientResponse):
         #: Whether it may belong to an earlier request on its connection.
         unidentified = False
+        #: The connection that it came on.
+        use: ConnectionUse | None = None
 
         async def start(
             self, connection: typing.Any
         ) -> aiohttp.ClientResponse:
             protocol = connection.protocol
-            protocol.id_header = id_header
-            protocol.expected_id = self.request_info.headers.get(id_header)
+            self.use = protocol.begin(
+                id_header, self.request_info.headers.get(id_header)
+            )
             await super().start(connection)
             self.unidentified = protocol.unidentified
             return self
@@ -232,36 +272,48 @@
     return Response
 
 
-def make_connector(
-    end: End = connections.reset, **options: typing.Any
-) -> aiohttp.TCPConnector:
-    """Return a connector that takes no broken response for a complete one.
+class Connector(aiohttp.TCPConnector):
+    """Opens connections that take no broken response for a complete one.
 
-    :param end: as for :func:`prepare_connector`.
+    :param end: ends a connection whose response isn't awaited any more.
+    :param on_use: called with how a request got its connection, for metrics.
     :param options: as for :class:`aiohttp.TCPConnector`.
     """
-    return prepare_connector(aiohttp.TCPConnector(limit=0, **options), end)
 
+    def __init__(
+        self,
+        end: End = connections.reset,
+        on_use: abc.Callable[[str], None] = lambda outcome: None,
+        **options: typing.Any,
+    ) -> None:
+        super().__init__(limit=0, **options)
+        self._factory = functools.partial(  # type: ignore[assignment]
+            _Protocol, loop=self._loop, end=end
+        )
+        self._on_use = on_use
 
-def prepare_connector(
-    connector: aiohttp.TCPConnector, end: End = connections.reset
-) -> aiohttp.TCPConnector:
-    """Let a connector take no broken response for a complete one.
+    async def connect(
+        self,
+        req: typing.Any,
+        traces: list[typing.Any],
+        timeout: aiohttp.ClientTimeout,
+    ) -> aiohttp_connector.Connection:
+        """Return an idle connection to the target of a request, or a new one.
 
-    :param connector: the connector.
-    :param end: ends a connection whose response isn't awaited any more.
-    """
-    connector._factory = functools.partial(  # type: ignore[assignment]
-        _Protocol, loop=connector._loop, end=end
-    )
-    return connector
+        :param req: the request.
+        """
+        connection = await super().connect(req, traces, timeout)
+        protocol = typing.cast(_Protocol, connection.protocol)
+        self._on_use("reused" if protocol.carried else "opened")
+        return connection
 
 
 def open_session(
     idle_limit_ms: int = IDLE_LIMIT_MS,
     response_class: type[aiohttp.ClientResponse] = aiohttp.ClientResponse,
-    connector: aiohttp.TCPConnector | None = None,
+    connector: Connector | None = None,
     end: End = connections.reset,
+    on_use: abc.Callable[[str], None] = lambda outcome: None,
 ) -> aiohttp.ClientSession:
     """Return an HTTP client session that sends each request once.
 
@@ -269,11 +321,13 @@
         reused any more, in ms.
     :param response_class: class of the responses.
     :param connector: opens the connections; none to open them directly.
-    :param end: as for :func:`prepare_connector`, unless there is a connector.
+    :param end: as for :class:`Connector`, unless there is a connector.
+    :param on_use: as for :class:`Connector`, unless there is a connector.
     """
     if connector is None:
-        connector = make_connector(
+        connector = Connector(
             end,
+            on_use,
             keepalive_timeout=idle_limit_ms / 1000,
             socket_factory=_make_socket,
         )
--- a/src/bulrushdale/forwarding/tunnels.py
+++ b/src/bulrushdale/forwarding/tunnels.py
@@ -24,6 +24,7 @@
 from bulrushdale.forwarding import connections
 from bulrushdale.forwarding import metrics as metrics_module
 from bulrushdale.forwarding import probes
+from bulrushdale.forwarding import sessions
 from bulrushdale.routing import relays as relays_module
 from bulrushdale.routing import targets as targets_module
 
@@ -90,9 +91,15 @@
         """
         self._target.set(target)
 
-    def make_connector(self) -> aiohttp.TCPConnector:
-        """Return a connector whose connections are tunnels."""
-        return _TunnelConnector(self._open, force_close=True, limit=0)
+    def make_connector(
+        self, end: sessions.End, on_use: abc.Callable[[str], None]
+    ) -> sessions.Connector:
+        """Return a connector whose connections are tunnels.
+
+        :param end: as for :class:`.sessions.Connector`.
+        :param on_use: as for :class:`.sessions.Connector`.
+        """
+        return _TunnelConnector(self._open, end, on_use, force_close=True)
 
     def tell_back_off(
         self, target: targets_module.Target, retry_after_ms: int
@@ -191,18 +198,23 @@
         raise ConnectionRefusedError("no router relays")
 
 
-class _TunnelConnector(aiohttp.TCPConnector):
+class _TunnelConnector(sessions.Connector):
     """Opens a tunnel for each connection.
 
     :param open_tunnel: opens a tunnel, or raises OSError.
+    :param end: as for :class:`.sessions.Connector`.
+    :param on_use: as for :class:`.sessions.Connector`.
+    :param options: as for :class:`.sessions.Connector`.
     """
 
     def __init__(
         self,
         open_tunnel: abc.Callable[[], abc.Awaitable[socket.socket]],
+        end: sessions.End,
+        on_use: abc.Callable[[str], None],
         **options: typing.Any,
     ) -> None:
-        super().__init__(**options)
+        super().__init__(end, on_use, **options)
         self._open_tunnel = open_tunnel
 
     async def _wrap_create_connection(
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -164,12 +164,15 @@
             await self._stack.enter_async_context(session)
             for session in (
                 sessions.open_session(
-                    response_class=response_class, end=endings.end
+                    response_class=response_class,
+                    end=endings.end,
+                    on_use=self._count_connection,
                 ),
                 sessions.open_session(
                     sessions.AT_MOST_ONCE_IDLE_LIMIT_MS,
                     response_class,
                     end=endings.end,
+                    on_use=self._count_connection,
                 ),
                 sessions.open_session(),
             )
@@ -267,8 +270,8 @@
         relay_session = await self._stack.enter_async_context(
             sessions.open_session(
                 response_class=response_class,
-                connector=sessions.prepare_connector(
-                    tunnel_client.make_connector(), endings.end
+                connector=tunnel_client.make_connector(
+                    endings.end, self._count_connection
                 ),
             )
         )
@@ -416,6 +419,9 @@
     def _count_end(self, outcome: str) -> None:
         self._metrics.endings.record(1, {"outcome": outcome})
 
+    def _count_connection(self, outcome: str) -> None:
+        self._metrics.connections.record(1, {"outcome": outcome})
+
     def _count_read(self, replica: str, outcome: str) -> None:
         self._metrics.store_reads.record(
             1, {"feed": replica, "outcome": outcome}
