Let no connection to a target carry a request twice

Callers were told 'not run' of orders that ran (REFUSED), and orders ran at a second target (TWICE).

Cause: a target may write a refusal once more. The router tells such a copy from the answer that is due by the request's id, and a request could come to its connection again, as connections are kept by address and the targets that it was sent to are kept by id: at an address with a new id, at one that changed hands (421), or if a caller uses its id again. Then the copy has the id that is due. Class: the id of a request taken for the id of one attempt.

A request without an id takes a new connection, as nothing tells its answer. So on each connection an id names one attempt, whatever the path that leads there. Connections that carried a refusal serve other requests as before: closing each of them would cost a new connection for each refusal where targets are full.

--- a/src/bulrushdale/forwarding/sessions.py
+++ b/src/bulrushdale/forwarding/sessions.py
@@ -12,6 +12,7 @@
 from aiohttp import client_proto
 from aiohttp import connector as aiohttp_connector
 
+from bulrushdale.forwarding import carried_requests
 from bulrushdale.forwarding import connections
 
 LOG = logging.getLogger(__name__)
@@ -59,40 +60,51 @@
     :param loop: the event loop.
     :param end: ends the connection if its response isn't awaited any more.
         Either closes the transport, or gives it another protocol.
+    :param id_header: name of the header that carries the request id; empty if
+        requests have no ids.
 
-    :ivar id_header: name of the header that carries the request id.
     :ivar expected_id: id of the current request; none accepts any response.
-    :ivar carried: number of requests that the connection has carried.
+    :ivar carried: the requests that the connection has carried.
     :ivar awaiting_head: whether the response head is still to come.
     :ivar unidentified: whether the last response may belong to an earlier
         request: it has no id, and the connection was in use before.
     """
 
-    id_header = ""
     expected_id: str | None = None
-    carried = 0
     awaiting_head = False
     unidentified = False
     _has_responded = False
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, end: End) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, end: End, id_header: str
+    ) -> None:
         super().__init__(loop)
+        self.carried = carried_requests.CarriedRequests()
         self._end = end
+        self._id_header = id_header
 
-    def begin(self, id_header: str, request_id: str | None) -> ConnectionUse:
+    def begin(self, request: aiohttp.RequestInfo) -> ConnectionUse:
         """Expect the response to a request that has been sent.
 
-        :param id_header: name of the header that carries the request id.
-        :param request_id: its id; none if it has none.
+        :param request: the request.
         """
-        self.id_header = id_header
-        self.expected_id = request_id
-        use = ConnectionUse(self._address, self.carried)
-        self.carried += 1
+        self.expected_id = request.headers.get(self._id_header)
+        use = ConnectionUse(self.address, self.carried.count)
+        self.carried.add(self.expected_id)
         return use
 
+    def may_carry(self, request: aiohttp.ClientRequest) -> bool:
+        """Return whether the response to a request could be told from others.
+
+        :param request: the request.
+        """
+        return not self._id_header or self.carried.allows(
+            request.headers.get(self._id_header)
+        )
+
     @property
-    def _address(self) -> str:
+    def address(self) -> str:
+        """IP and port of this router's end; empty once it has ended."""
         transport = self.transport
         if transport is None:
             return ""
@@ -126,11 +138,11 @@
         self.awaiting_head = True
         for _ in range(1 + MAX_STRAY_RESPONSES):
             message, payload = await super().read()
-            response_id = message.headers.get(self.id_header)
+            response_id = message.headers.get(self._id_header)
             if response_id is None or self.expected_id in (None, response_id):
                 self.awaiting_head = False
                 self.unidentified = (
-                    bool(self.id_header)
+                    bool(self._id_header)
                     and response_id is None
                     and self._has_responded
                 )
@@ -146,8 +158,8 @@
                     "request_id": self.expected_id,
                     "found": response_id,
                     "status": message.code,
-                    "connection": self._address,
-                    "carried": self.carried,
+                    "connection": self.address,
+                    "carried": self.carried.count,
                 },
             )
             await self._discard_body(payload)
@@ -192,7 +204,7 @@
         self._drop_timeout()
 
     def _log_abandoned(self, transport: asyncio.Transport) -> None:
-        if not self.id_header:
+        if not self._id_header:
             return
         LOG.info(
             "connection closed before the end of its response",
@@ -244,38 +256,28 @@
     return bytes(body)
 
 
-def make_response_class(id_header: str) -> type[aiohttp.ClientResponse]:
-    """Return a response class that tells its connection the request id.
-
-    The connection discards responses that carry another id.
-
-    :param id_header: name of the header that carries the request id.
-    """
+class Response(aiohttp.ClientResponse):
+    """A response that tells its connection which request it waits for."""
 
-    class Response(aiohttp.ClientResponse):
-        #: Whether it may belong to an earlier request on its connection.
-        unidentified = False
-        #: The connection that it came on.
-        use: ConnectionUse | None = None
-
-        async def start(
-            self, connection: typing.Any
-        ) -> aiohttp.ClientResponse:
-            protocol = connection.protocol
-            self.use = protocol.begin(
-                id_header, self.request_info.headers.get(id_header)
-            )
-            await super().start(connection)
-            self.unidentified = protocol.unidentified
-            return self
+    #: Whether it may belong to an earlier request on its connection.
+    unidentified = False
+    #: The connection that it came on.
+    use: ConnectionUse | None = None
 
-    return Response
+    async def start(self, connection: typing.Any) -> aiohttp.ClientResponse:
+        protocol = connection.protocol
+        self.use = protocol.begin(self.request_info)
+        await super().start(connection)
+        self.unidentified = protocol.unidentified
+        return self
 
 
 class Connector(aiohttp.TCPConnector):
-    """Opens connections that take no broken response for a complete one.
+    """Keeps connections that take no other response for the awaited one.
 
     :param end: ends a connection whose response isn't awaited any more.
+    :param id_header: name of the header that carries the request id; empty if
+        requests have no ids.
     :param on_use: called with how a request got its connection, for metrics.
     :param options: as for :class:`aiohttp.TCPConnector`.
     """
@@ -283,12 +285,13 @@
     def __init__(
         self,
         end: End = connections.reset,
+        id_header: str = "",
         on_use: abc.Callable[[str], None] = lambda outcome: None,
         **options: typing.Any,
     ) -> None:
         super().__init__(limit=0, **options)
         self._factory = functools.partial(  # type: ignore[assignment]
-            _Protocol, loop=self._loop, end=end
+            _Protocol, loop=self._loop, end=end, id_header=id_header
         )
         self._on_use = on_use
 
@@ -302,31 +305,56 @@
 
         :param req: the request.
         """
+        self._close_unusable(req)
         connection = await super().connect(req, traces, timeout)
         protocol = typing.cast(_Protocol, connection.protocol)
-        self._on_use("reused" if protocol.carried else "opened")
+        self._on_use("reused" if protocol.carried.count else "opened")
         return connection
 
+    def _close_unusable(self, request: aiohttp.ClientRequest) -> None:
+        """Close idle connections that may not carry a request."""
+        idle = self._conns.get(request.connection_key, ())
+        for protocol, _ in typing.cast(_IdleConnections, idle):
+            if protocol.may_carry(request):
+                continue
+            reason = "full" if protocol.carried.full else "ambiguous"
+            self._on_use(reason)
+            LOG.info(
+                "idle connection not reused",
+                extra={
+                    "event": "answer.other_connection",
+                    "connection": protocol.address,
+                    "carried": protocol.carried.count,
+                    "reason": reason,
+                },
+            )
+            protocol.close()
+
+
+# With the time since which they are idle.
+_IdleConnections = abc.Iterable[tuple[_Protocol, float]]
+
 
 def open_session(
     idle_limit_ms: int = IDLE_LIMIT_MS,
-    response_class: type[aiohttp.ClientResponse] = aiohttp.ClientResponse,
     connector: Connector | None = None,
     end: End = connections.reset,
+    id_header: str = "",
     on_use: abc.Callable[[str], None] = lambda outcome: None,
 ) -> aiohttp.ClientSession:
     """Return an HTTP client session that sends each request once.
 
     :param idle_limit_ms: how long a connection may be idle before it is not
         reused any more, in ms.
-    :param response_class: class of the responses.
     :param connector: opens the connections; none to open them directly.
     :param end: as for :class:`Connector`, unless there is a connector.
+    :param id_header: as for :class:`Connector`, unless there is a connector.
     :param on_use: as for :class:`Connector`, unless there is a connector.
     """
     if connector is None:
         connector = Connector(
             end,
+            id_header,
             on_use,
             keepalive_timeout=idle_limit_ms / 1000,
             socket_factory=_make_socket,
@@ -335,7 +363,7 @@
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
-        response_class=response_class,
+        response_class=Response,
         max_line_size=MAX_FIELD_BYTES,
         max_field_size=MAX_FIELD_BYTES,
         skip_auto_headers=(
--- a/src/bulrushdale/forwarding/tunnels.py
+++ b/src/bulrushdale/forwarding/tunnels.py
@@ -92,14 +92,20 @@
         self._target.set(target)
 
     def make_connector(
-        self, end: sessions.End, on_use: abc.Callable[[str], None]
+        self,
+        end: sessions.End,
+        id_header: str,
+        on_use: abc.Callable[[str], None],
     ) -> sessions.Connector:
         """Return a connector whose connections are tunnels.
 
         :param end: as for :class:`.sessions.Connector`.
+        :param id_header: as for :class:`.sessions.Connector`.
         :param on_use: as for :class:`.sessions.Connector`.
         """
-        return _TunnelConnector(self._open, end, on_use, force_close=True)
+        return _TunnelConnector(
+            self._open, end, id_header, on_use, force_close=True
+        )
 
     def tell_back_off(
         self, target: targets_module.Target, retry_after_ms: int
@@ -202,19 +208,17 @@
     """Opens a tunnel for each connection.
 
     :param open_tunnel: opens a tunnel, or raises OSError.
-    :param end: as for :class:`.sessions.Connector`.
-    :param on_use: as for :class:`.sessions.Connector`.
+    :param args: as for :class:`.sessions.Connector`.
     :param options: as for :class:`.sessions.Connector`.
     """
 
     def __init__(
         self,
         open_tunnel: abc.Callable[[], abc.Awaitable[socket.socket]],
-        end: sessions.End,
-        on_use: abc.Callable[[str], None],
+        *args: typing.Any,
         **options: typing.Any,
     ) -> None:
-        super().__init__(end, on_use, **options)
+        super().__init__(*args, **options)
         self._open_tunnel = open_tunnel
 
     async def _wrap_create_connection(
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -156,7 +156,6 @@
         """Build the components and connect them."""
         settings = self.settings
         clock = self._clock
-        response_class = sessions.make_response_class(headers.REQUEST_ID)
         self._metrics = metrics_module.Metrics()
         endings = endings_module.Endings(clock, self._count_end)
         self._stack.callback(endings.close)
@@ -164,14 +163,14 @@
             await self._stack.enter_async_context(session)
             for session in (
                 sessions.open_session(
-                    response_class=response_class,
                     end=endings.end,
+                    id_header=headers.REQUEST_ID,
                     on_use=self._count_connection,
                 ),
                 sessions.open_session(
                     sessions.AT_MOST_ONCE_IDLE_LIMIT_MS,
-                    response_class,
                     end=endings.end,
+                    id_header=headers.REQUEST_ID,
                     on_use=self._count_connection,
                 ),
                 sessions.open_session(),
@@ -269,9 +268,8 @@
         )
         relay_session = await self._stack.enter_async_context(
             sessions.open_session(
-                response_class=response_class,
                 connector=tunnel_client.make_connector(
-                    endings.end, self._count_connection
+                    endings.end, headers.REQUEST_ID, self._count_connection
                 ),
             )
         )
--- a/tests/test_copied_refusals.py
+++ b/tests/test_copied_refusals.py
@@ -15,6 +15,7 @@
 # Ids that a target had before, with entries that are still listed.
 EARLIER_IDS = 6
 NEW_ID = "t-new"
+COPY_DELAY_S = 0.02
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -26,16 +27,19 @@
 
     :param target_id: its id; it refuses requests for another one.
     :param refuses: number of requests that it refuses as it is full.
+    :param copies_when_idle: whether it writes the copy soon after the refusal
+        instead, on an idle connection.
 
     :ivar ran: how often each request ran, by its id.
     :ivar copies: number of refusals written once more.
     """
 
-    def __init__(self, target_id, refuses=0):
+    def __init__(self, target_id, refuses=0, copies_when_idle=False):
         self.ran = collections.Counter()
         self.copies = 0
         self._target_id = target_id
         self._refuses = refuses
+        self._copies_when_idle = copies_when_idle
         self._refusals = {}
 
     async def __call__(self, request, writer):
@@ -53,8 +57,12 @@
             refusal = scripted_target.response(
                 request, status, X_Not_Executed="1"
             )
-            self._refusals[writer] = (request.request_id, refusal)
             writer.write(refusal)
+            if self._copies_when_idle:
+                loop = asyncio.get_running_loop()
+                loop.call_later(COPY_DELAY_S, writer.write, refusal)
+            else:
+                self._refusals[writer] = (request.request_id, refusal)
             return
         self.ran[request.request_id] += 1
         await gateway_fixtures.respond(request, writer)
@@ -146,16 +154,18 @@
     assert max(refusals_by_connection(router).values()) == 1
 
 
+@pytest.mark.parametrize("copies_when_idle", [False, True])
 async def test_copied_refusal_is_not_believed_when_a_caller_reuses_its_id(
-    fleet,
+    fleet, copies_when_idle
 ):
     """An order ran that was refused as not run, as its id came again."""
-    script = CopyingTarget("t1", refuses=1)
+    script = CopyingTarget("t1", refuses=1, copies_when_idle=copies_when_idle)
     await add_target(fleet, ["t1"], script)
     router = await fleet.add_process()
     await wait_for_targets(router, 1)
     async with aiohttp.ClientSession() as caller:
         assert await send(caller, router, "q1") == 503
+        await asyncio.sleep(2 * COPY_DELAY_S)
         assert await send(caller, router, "q1") == 200
     assert script.ran["q1"] == 1
 
--- /dev/null
+++ b/tests/test_sessions.py
@@ -0,0 +1,90 @@
+"""Connections that HTTP client sessions reuse."""
+
+import contextlib
+
+import pytest
+
+from bulrushdale.forwarding import carried_requests
+from bulrushdale.forwarding import sessions
+from examples.standins import scripted_target
+
+ID_HEADER = "X-Request-Id"
+
+
+async def respond(request, writer):
+    writer.write(scripted_target.response(request))
+
+
+class Client:
+    """A session, a target, and how requests got their connections."""
+
+    def __init__(self, address):
+        self.outcomes = []
+        self._url = f"http://{address}/x"
+        self.session = sessions.open_session(
+            id_header=ID_HEADER, on_use=self.outcomes.append
+        )
+
+    async def send(self, request_id):
+        headers = {} if request_id is None else {ID_HEADER: request_id}
+        async with self.session.get(self._url, headers=headers) as response:
+            await response.read()
+
+
+@pytest.fixture
+async def client():
+    target = scripted_target.ScriptedTarget(respond)
+    await target.start()
+    found = Client(target.address)
+    async with contextlib.AsyncExitStack() as stack:
+        stack.push_async_callback(target.stop)
+        await stack.enter_async_context(found.session)
+        yield found
+
+
+async def test_connection_that_carried_a_request_does_not_carry_it_again(
+    client,
+):
+    for request_id in ("q1", "q2", "q1", "q3"):
+        await client.send(request_id)
+    assert client.outcomes == [
+        "opened",
+        "reused",
+        "ambiguous",
+        "opened",
+        "reused",
+    ]
+
+
+async def test_request_without_an_id_takes_a_new_connection(client):
+    for request_id in ("q1", None, None, "q2"):
+        await client.send(request_id)
+    assert client.outcomes == [
+        "opened",
+        "ambiguous",
+        "opened",
+        "ambiguous",
+        "opened",
+        "reused",
+    ]
+
+
+async def test_connection_remembers_a_bounded_number_of_requests(client):
+    limit = carried_requests.MAX_CARRIED_REQUESTS
+    for number in range(2 * limit + 1):
+        await client.send(f"q{number}")
+    assert client.outcomes.count("opened") == 3
+    assert client.outcomes.count("full") == 2
+    assert client.outcomes.count("reused") == 2 * (limit - 1)
+
+
+async def test_session_without_ids_reuses_connections():
+    target = scripted_target.ScriptedTarget(respond)
+    await target.start()
+    outcomes = []
+    async with sessions.open_session(on_use=outcomes.append) as session:
+        for _ in range(3):
+            async with session.get(f"http://{target.address}/x") as response:
+                await response.read()
+    await target.stop()
+    assert outcomes == ["opened", "reused", "reused"]
