Don't believe a copied refusal when an engine is tried again

An engine that refuses a chat as overloaded may get it again, with the same id and on the same connection; the sessions to targets had no rule on ids at all.

Requests to targets have a session of their own now, whose connections carry no request twice and discard responses to others. Requests without ids (to the store, for the load of targets) keep their pool.

test_copied_refusal_is_not_believed_when_an_engine_is_tried_again: red with the header of the ids left out, as before (the engine ran the chat twice), green with it.

--- a/src/bulrushdale/daemon.py
+++ b/src/bulrushdale/daemon.py
@@ -50,31 +50,39 @@
 PROBE_STEP_MS = 250
 CLAIMS_INTERVAL_MS = 2_000
 IDLE_SERVERS_INTERVAL_MS = 30_000
+# Engines repeat the request's id in this header of their responses.
+TARGET_ID_HEADER = "X-Request-Id"
 # Connections to targets and the store are kept for this long when idle.
 KEEP_ALIVE_MS = 20_000
 DRAIN_POLL_MS = 50
 
 
 def open_session(
-    keep_alive: bool, end: sessions.End = connections.reset
+    keep_alive: bool,
+    end: sessions.End = connections.reset,
+    id_header: str = "",
 ) -> aiohttp.ClientSession:
-    """Return an HTTP session to targets and the store.
+    """Return an HTTP session to targets or the store.
 
     :param keep_alive: whether connections are used for several requests.
     :param end: ends a connection whose response isn't awaited any more.
+    :param id_header: as for :class:`.sessions.Connector`.
     """
     if keep_alive:
         connector = sessions.Connector(
-            end, keepalive_timeout=KEEP_ALIVE_MS / 1000
+            end, id_header, keepalive_timeout=KEEP_ALIVE_MS / 1000
         )
     else:
-        connector = sessions.Connector(end, force_close=True)
-    return aiohttp.ClientSession(connector=connector)
+        connector = sessions.Connector(end, id_header, force_close=True)
+    return aiohttp.ClientSession(
+        connector=connector, response_class=sessions.Response
+    )
 
 
 def build_context(
     settings: settings_module.Settings,
     clock: clock_module.Clock,
+    internal_session: aiohttp.ClientSession,
     session: aiohttp.ClientSession,
     at_most_once_session: aiohttp.ClientSession,
 ) -> tuple[context_module.Context, peering_module.FrameHandler]:
@@ -82,6 +90,8 @@
 
     :param settings: the router's settings.
     :param clock: the clock.
+    :param internal_session: the HTTP session for requests without ids: to the
+        store, and for the load of targets.
     :param session: the HTTP session for requests that may be sent again.
     :param at_most_once_session: the HTTP session for requests that must not be
         sent again.
@@ -96,7 +106,7 @@
     members = members_module.Members(own, clock, settings.links.forget_ms)
     platform = settings.platform
     store = store_module.Store(
-        session, platform.store_url, platform.request_timeout_ms
+        internal_session, platform.store_url, platform.request_timeout_ms
     )
     log = log_module.Log(store, clock)
     vm_list = vms.VmListClient(
@@ -188,14 +198,23 @@
         self._stack = contextlib.AsyncExitStack()
         endings = endings_module.Endings(self._clock)
         self._stack.callback(endings.close)
-        session = await self._stack.enter_async_context(
+        self._internal_session = await self._stack.enter_async_context(
             open_session(keep_alive=True, end=endings.end)
         )
+        session = await self._stack.enter_async_context(
+            open_session(
+                keep_alive=True, end=endings.end, id_header=TARGET_ID_HEADER
+            )
+        )
         at_most_once_session = await self._stack.enter_async_context(
             open_session(keep_alive=False, end=endings.end)
         )
         self._context, frame_handler = build_context(
-            self.settings, self._clock, session, at_most_once_session
+            self.settings,
+            self._clock,
+            self._internal_session,
+            session,
+            at_most_once_session,
         )
         self._follower = follower.Follower(
             self._context, frame_handler, self._clock
@@ -313,7 +332,9 @@
         probed = context.schedulers.targets_to_probe()
         await asyncio.gather(
             *(
-                targets_module.probe(context.session, context.targets, target)
+                targets_module.probe(
+                    self._internal_session, context.targets, target
+                )
                 for target in probed
             )
         )
--- a/tests/test_engine_errors.py
+++ b/tests/test_engine_errors.py
@@ -43,10 +43,12 @@
 
 
 @contextlib.asynccontextmanager
-async def running_target(script):
+async def running_target(script, id_header=""):
     target = scripted_target.ScriptedTarget(script)
     await target.start()
-    async with daemon.open_session(keep_alive=True) as session:
+    async with daemon.open_session(
+        keep_alive=True, id_header=id_header
+    ) as session:
         yield target, session
     await target.stop()
 
@@ -105,8 +107,60 @@
     assert error.refusal.effect is ran
 
 
+class OverloadedEngine:
+    """Script that refuses a chat once as overloaded, then runs it.
+
+    A refusal is written once more before the answer to the next request on
+    its connection.
+
+    :ivar ran: number of chats that ran.
+    """
+
+    def __init__(self):
+        self.ran = 0
+        self._refused = 0
+        self._refusals = {}
+
+    async def __call__(self, request, writer):
+        writer.write(self._refusals.pop(writer, b""))
+        if not self._refused:
+            self._refused += 1
+            refusal = scripted_target.response(request, "429 Busy")
+            self._refusals[writer] = refusal
+            writer.write(refusal)
+            return
+        self.ran += 1
+        writer.write(STREAM_HEAD)
+        writer.write(scripted_target.chunk(FRAMES))
+
+
+async def test_copied_refusal_is_not_believed_when_an_engine_is_tried_again(
+    monkeypatch,
+):
+    """A chat ran that its caller was told had not run."""
+    monkeypatch.setattr(chats, "OVERLOAD_DELAY_MS", 1)
+    script = OverloadedEngine()
+    async with running_target(script, daemon.TARGET_ID_HEADER) as (
+        target,
+        session,
+    ):
+        answer = await run_chat(target, session, retries=True)
+    assert script.ran == 1
+    assert answer.first == [b"a", b"b"]
+
+
 async def start_chat(target, session):
     """Start a chat on the only engine; return the error that ends it."""
+    with pytest.raises(results.RefusedError) as raised:
+        await run_chat(target, session)
+    return raised.value
+
+
+async def run_chat(target, session, retries=False):
+    """Start a chat on the only engine.
+
+    :param retries: whether it may be retried.
+    """
     grant = types.SimpleNamespace(
         target="t1",
         reason=types.SimpleNamespace(name="LOAD"),
@@ -136,8 +190,9 @@
             retries=types.SimpleNamespace(add=lambda _: None),
         ),
         serving=types.SimpleNamespace(
-            retry_quota=types.SimpleNamespace(spend=lambda: False)
+            retry_quota=types.SimpleNamespace(spend=lambda: retries)
         ),
+        signer=types.SimpleNamespace(sign=lambda *_: ""),
     )
     caller = types.SimpleNamespace(
         request_id="q1",
@@ -145,9 +200,9 @@
         timeline=types.SimpleNamespace(step=lambda *_: None),
     )
     requirements = types.SimpleNamespace(pool="loaf")
-    with pytest.raises(results.RefusedError) as raised:
-        await chats._start_with_retries(context, caller, requirements, b"{}")
-    return raised.value
+    return await chats._start_with_retries(
+        context, caller, requirements, b"{}"
+    )
 
 
 @pytest.mark.parametrize("names_request", [True, False])
