Don't log a complete response as abandoned

answer.abandoned is what tells a run that was given up.

test_complete_response_is_not_logged_as_abandoned: red before.

--- a/src/bulrushdale/forwarding/sessions.py
+++ b/src/bulrushdale/forwarding/sessions.py
@@ -191,7 +191,7 @@
         target has responded.
         """
         transport = self.transport
-        if transport is None or not (self.awaiting_head or self.should_close):
+        if transport is None or self._is_complete:
             super().close()
             return
         self._log_abandoned(transport)
@@ -203,6 +203,12 @@
         self.transport = None
         self._drop_timeout()
 
+    @property
+    def _is_complete(self) -> bool:
+        """Whether the last response has been received completely."""
+        payload = self._payload
+        return not self.awaiting_head and (payload is None or payload.is_eof())
+
     def _log_abandoned(self, transport: asyncio.Transport) -> None:
         if not self._id_header:
             return
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -1,6 +1,7 @@
 """Connections that HTTP client sessions reuse."""
 
 import contextlib
+import logging
 
 import pytest
 
@@ -18,9 +19,10 @@
 class Client:
     """A session, a target, and how requests got their connections."""
 
-    def __init__(self, address):
+    def __init__(self, target):
+        self.target = target
         self.outcomes = []
-        self._url = f"http://{address}/x"
+        self._url = f"http://{target.address}/x"
         self.session = sessions.open_session(
             id_header=ID_HEADER, on_use=self.outcomes.append
         )
@@ -35,7 +37,7 @@
 async def client():
     target = scripted_target.ScriptedTarget(respond)
     await target.start()
-    found = Client(target.address)
+    found = Client(target)
     async with contextlib.AsyncExitStack() as stack:
         stack.push_async_callback(target.stop)
         await stack.enter_async_context(found.session)
@@ -78,6 +80,18 @@
     assert client.outcomes.count("reused") == 2 * (limit - 1)
 
 
+async def test_complete_response_is_not_logged_as_abandoned(client, caplog):
+    caplog.set_level(logging.INFO)
+
+    async def close_after_response(request, writer):
+        writer.write(scripted_target.response(request, Connection="close"))
+
+    client.target.script = close_after_response
+    await client.send("q1")
+    events = [getattr(record, "event", "") for record in caplog.records]
+    assert "answer.abandoned" not in events
+
+
 async def test_session_without_ids_reuses_connections():
     target = scripted_target.ScriptedTarget(respond)
     await target.start()
