Give callers of a service the response to their own request

In the composition with a catalogue a service that answered twice gave the next caller on the connection the answer of the one before.

Responses that name another request are discarded. Where they name none, as services needn't, nothing tells the next one from a second answer: such a connection isn't used again. That costs a connection for each request to a service that doesn't repeat ids; one that does keeps its connections. The same holds for a target on the users' platform that refuses without an id.

--- a/src/bulrushdale/forwarding/sessions.py
+++ b/src/bulrushdale/forwarding/sessions.py
@@ -73,7 +73,6 @@
     expected_id: str | None = None
     awaiting_head = False
     unidentified = False
-    _has_responded = False
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, end: End, id_header: str
@@ -141,15 +140,12 @@
             response_id = message.headers.get(self._id_header)
             if response_id is None or self.expected_id in (None, response_id):
                 self.awaiting_head = False
-                self.unidentified = (
-                    bool(self._id_header)
-                    and response_id is None
-                    and self._has_responded
-                )
-                if self.unidentified:
-                    # The response to this request may still come.
+                is_named = not self._id_header or response_id is not None
+                self.unidentified = not is_named and self.carried.count > 1
+                if not is_named and not _is_informational(message.code):
+                    # Nothing would tell the next response from a copy of this
+                    # one, and the response to this request may still come.
                     self.force_close()
-                self._has_responded = True
                 return message, payload
             LOG.warning(
                 "discarded a response to another request",
@@ -262,6 +258,10 @@
     return bytes(body)
 
 
+def _is_informational(status: int) -> bool:
+    return 100 <= status < 200
+
+
 class Response(aiohttp.ClientResponse):
     """A response that tells its connection which request it waits for."""
 
--- a/src/bulrushdale/web/service_requests.py
+++ b/src/bulrushdale/web/service_requests.py
@@ -102,6 +102,10 @@
             timeout=timeout,
             allow_redirects=False,
         ) as response:
+            if getattr(response, "unidentified", False):
+                raise aiohttp.ClientPayloadError(
+                    "the response may belong to an earlier request"
+                )
             body = await sessions.read_bounded(response, MAX_RESPONSE_BYTES)
             return claim_table.Outcome(
                 response.status, body, response.content_type
--- a/tests/test_service_requests.py
+++ b/tests/test_service_requests.py
@@ -82,6 +82,56 @@
     assert (outcome.status, outcome.body) == (200, b"half")
 
 
+class AnsweringTwice:
+    """Script that writes each response once more before the next one.
+
+    :param names_request: whether responses name their requests.
+    """
+
+    def __init__(self, names_request):
+        self._names_request = names_request
+        self._responses = {}
+
+    async def __call__(self, request, writer):
+        writer.write(self._responses.get(writer, b""))
+        response = scripted_target.response(
+            request, body=request.request_id.encode()
+        )
+        if not self._names_request:
+            lines = response.split(b"\r\n")
+            del lines[1]
+            response = b"\r\n".join(lines)
+        self._responses[writer] = response
+        writer.write(response)
+
+
+@pytest.mark.parametrize("names_request", [True, False])
+async def test_second_response_is_not_that_of_the_next_request(
+    target, names_request
+):
+    """Callers got the responses of others."""
+    target.script = AnsweringTwice(names_request)
+    context = make_context(target)
+    async with daemon.open_session(
+        keep_alive=True, id_header=daemon.TARGET_ID_HEADER
+    ) as session:
+        for request_id in ("q1", "q2", "q2", "q3"):
+            outcome = await service_requests.send(
+                context,
+                session,
+                types.SimpleNamespace(target="t1"),
+                service_requests.ServiceRequest(
+                    "till",
+                    types.SimpleNamespace(call_timeout_ms=2_000),
+                    "GET",
+                    "/orders",
+                    {"X-Request-Id": request_id},
+                    b"",
+                ),
+            )
+            assert outcome.body == request_id.encode()
+
+
 async def endless(request, writer):
     writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
     while True:
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -92,6 +92,18 @@
     assert "answer.abandoned" not in events
 
 
+async def test_connection_whose_responses_name_no_request_is_not_reused(
+    client,
+):
+    async def respond_without_id(request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    client.target.script = respond_without_id
+    for request_id in ("q1", "q2"):
+        await client.send(request_id)
+    assert client.outcomes == ["opened", "opened"]
+
+
 async def test_session_without_ids_reuses_connections():
     target = scripted_target.ScriptedTarget(respond)
     await target.start()
