--- a/src/bulrushdale/forwarding/carried_requests.py
+++ b/src/bulrushdale/forwarding/carried_requests.py
@@ -2,7 +2,7 @@
 
 from bulrushdale import hashing
 
-# About 60 bytes each. A connection that has carried as many takes no more.
+# About 100 bytes each. A connection that has carried as many takes no more.
 MAX_CARRIED_REQUESTS = 128
 
 
