Give callers that stop reading for seconds the rest of their answer

Cause: TCP_USER_TIMEOUT of 2 s, which is there to notice lost paths, also counts while a peer's window is closed. While an answer is there to read it is 10 s now; while the target works it stays at 2 s, so that a caller that is gone is noticed as soon as before.

test_caller_that_stops_reading_gets_the_rest_of_its_answer (4 s, 0.9 and 3 MB, and a stream): all three red before, connection reset by the router.

--- a/src/bulrushdale/forwarding/callers.py
+++ b/src/bulrushdale/forwarding/callers.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 import orjson
 
+from bulrushdale.forwarding import connections
 from bulrushdale.forwarding import context as context_module
 from bulrushdale.forwarding import proxy
 from bulrushdale import results
@@ -109,11 +110,17 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request."""
         connection = request.protocol
+        connections.set_user_timeout(
+            request.transport, connections.TCP_USER_TIMEOUT_MS
+        )
         self._state.busy.add(connection)
         try:
             response = await self._respond(request)
         finally:
             self._state.busy.discard(connection)
+            connections.set_user_timeout(
+                request.transport, connections.CALLER_USER_TIMEOUT_MS
+            )
         if self._state.draining:
             response.force_close()
         return response
--- a/src/bulrushdale/forwarding/connections.py
+++ b/src/bulrushdale/forwarding/connections.py
@@ -11,6 +11,9 @@
 # Data unacknowledged for this long means that the path is down. Links that
 # lose packets recover within a few hundred ms.
 TCP_USER_TIMEOUT_MS = 2_000
+# The same, while a caller has a response to read. The kernel also counts the
+# time in which a peer accepts no more data, as it has stopped reading.
+CALLER_USER_TIMEOUT_MS = 10_000
 # An unresponsive peer is detected after the idle time and the probes.
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
@@ -36,6 +39,21 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
 
+def set_user_timeout(
+    transport: asyncio.BaseTransport | None, timeout_ms: int
+) -> None:
+    """Set how long data may stay unacknowledged before a connection ends.
+
+    :param transport: its transport; none if it has ended.
+    :param timeout_ms: the time, in ms.
+    """
+    sock = None if transport is None else transport.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
+        )
+
+
 def reset_on_close(transport: asyncio.BaseTransport) -> None:
     """Make the end of a connection a reset, which drops unsent data.
 
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -861,6 +861,10 @@
             if self._context.draining():
                 self._response.force_close()
             self._request_log.log("request.first_event")
+            connections.set_user_timeout(
+                self._web_request.transport,
+                connections.CALLER_USER_TIMEOUT_MS,
+            )
             transport = self._transport_without_chunks
             if transport is not None:
                 connections.reset_on_close(transport)
