Send orders to services once, whatever their method

Cause: aiohttp sends requests of the methods that HTTP calls idempotent again when a connection is lost, on a new connection too; daemon.open_session left that on, and its comment took a connection of its own for a guard against it. Where the target was gone by the second send, the failed connection was reported as 'not sent' and the order went on to another target. Class: a statement on a second attempt taken for the first one's. The gateway's sessions never resent.

--- a/src/bulrushdale/daemon.py
+++ b/src/bulrushdale/daemon.py
@@ -74,8 +74,10 @@
         )
     else:
         connector = sessions.Connector(end, id_header, force_close=True)
-    return aiohttp.ClientSession(
-        connector=connector, response_class=sessions.Response
+    return sessions.disable_resend(
+        aiohttp.ClientSession(
+            connector=connector, response_class=sessions.Response
+        )
     )
 
 
--- a/src/bulrushdale/forwarding/sessions.py
+++ b/src/bulrushdale/forwarding/sessions.py
@@ -379,6 +379,17 @@
             "Content-Type",
         ),
     )
-    # By default aiohttp resends GET requests when a connection is lost.
+    return disable_resend(session)
+
+
+def disable_resend(session: aiohttp.ClientSession) -> aiohttp.ClientSession:
+    """Let a session send each request once.
+
+    By default aiohttp sends requests of idempotent methods again when their
+    connection is lost, also on a new connection.
+
+    :param session: the session.
+    :return: the same session.
+    """
     session._retry_connection = False
     return session
--- a/src/bulrushdale/web/context.py
+++ b/src/bulrushdale/web/context.py
@@ -74,8 +74,8 @@
     """Everything that the handlers of requests need.
 
     ``session`` keeps connections open. ``at_most_once_session`` opens one for
-    each request, because a client may send a request again if a connection
-    that it reuses turns out to be closed.
+    each request, because after the end of a reused connection it would be
+    unknown whether the target had read the request.
     """
 
     settings: settings_module.Settings
--- a/tests/test_service_requests.py
+++ b/tests/test_service_requests.py
@@ -1,6 +1,7 @@
 """Responses of plain services in the composition with a catalogue."""
 
 import asyncio
+import contextlib
 import time
 import types
 
@@ -11,6 +12,8 @@
 from bulrushdale import daemon
 from bulrushdale.fleet import targets as fleet_targets
 from bulrushdale.platform import vms
+from bulrushdale import results
+from bulrushdale.web import at_most_once
 from bulrushdale.web import service_requests
 from examples.standins import scripted_target
 
@@ -170,3 +173,115 @@
         client = vms.VmListClient(session, f"http://{target.address}/", 2_000)
         with pytest.raises(aiohttp.ClientPayloadError, match="1048576"):
             await client.read()
+
+
+class RunsAndResets:
+    """Script that runs each request and resets its connection.
+
+    :param target: the target; it ends with the first request, if given.
+
+    :ivar ran: number of requests that ran.
+    """
+
+    def __init__(self, target=None):
+        self.ran = 0
+        self._target = target
+
+    async def __call__(self, request, writer):
+        self.ran += 1
+        if self._target is not None:
+            await self._target.stop()
+        scripted_target.reset_connection(writer)
+        return False
+
+
+@pytest.mark.parametrize("target_ends", [False, True])
+@pytest.mark.parametrize("method", ["POST", "PUT", "DELETE"])
+async def test_request_that_may_have_run_is_not_sent_again(
+    target, method, target_ends
+):
+    """The HTTP client sent it twice, or reported it as not sent."""
+    target.script = RunsAndResets(target if target_ends else None)
+    request = service_requests.ServiceRequest(
+        "till",
+        types.SimpleNamespace(call_timeout_ms=2_000),
+        method,
+        "/orders",
+        {"X-Request-Id": "q1"},
+        b"order",
+    )
+    error = None
+    async with daemon.open_session(keep_alive=False) as session:
+        try:
+            await service_requests.send(
+                make_context(target),
+                session,
+                types.SimpleNamespace(target="t1"),
+                request,
+            )
+        except (
+            service_requests.NotSentError,
+            service_requests.NoResponseError,
+        ) as raised:
+            error = raised
+    assert target.script.ran == 1
+    assert isinstance(error, service_requests.NoResponseError)
+
+
+@pytest.mark.parametrize("method", ["POST", "PUT", "DELETE"])
+async def test_order_whose_target_ended_does_not_run_at_another(
+    target, method
+):
+    """An order with an idempotency key ran twice."""
+    target.script = RunsAndResets(target)
+    other = scripted_target.ScriptedTarget(RunsAndResets())
+    await other.start()
+    context = make_context(target)
+    context.targets["t2"] = types.SimpleNamespace(
+        url=f"http://{other.address}"
+    )
+
+    async def acquire(*_):
+        return types.SimpleNamespace(
+            target="t2", coordinator="r1", seq=2, session=None
+        )
+
+    context.slot_client.acquire = acquire
+    context.slot_client.release = lambda _: None
+    context.claim_client = types.SimpleNamespace(
+        record_outcome=lambda *_: None, release=lambda _: None
+    )
+    context.telemetry = types.SimpleNamespace(
+        tracer=types.SimpleNamespace(
+            start_as_current_span=lambda _: contextlib.nullcontext()
+        )
+    )
+    caller = types.SimpleNamespace(
+        request_id="q1",
+        timeline=types.SimpleNamespace(step=lambda *_: None),
+    )
+    request = service_requests.ServiceRequest(
+        "till",
+        types.SimpleNamespace(call_timeout_ms=2_000),
+        method,
+        "/orders",
+        {"X-Request-Id": "q1"},
+        b"order",
+    )
+    error = None
+    async with daemon.open_session(keep_alive=False) as session:
+        context.at_most_once_session = session
+        try:
+            await at_most_once._send_claimed(
+                context,
+                caller,
+                None,
+                request,
+                None,
+                types.SimpleNamespace(target="t1"),
+            )
+        except results.RefusedError as raised:
+            error = raised
+    await other.stop()
+    assert target.script.ran + other.script.ran == 1
+    assert error.refusal.effect is not results.Ran.NO
