--- a/src/bulrushdale/forwarding/sessions.py
+++ b/src/bulrushdale/forwarding/sessions.py
@@ -180,14 +180,16 @@
                 )
 
     def close(self) -> None:
-        """Close the connection; end the request unless it is complete.
+        """Close the connection; end a request that is still under way.
 
         After an orderly close the kernel keeps sending the request. A link
         that was down would deliver it when it recovers, long after another
         target has responded.
         """
         transport = self.transport
-        if transport is None or self._is_complete:
+        if transport is None or (
+            self._has_whole_response and not transport.get_write_buffer_size()
+        ):
             super().close()
             return
         self._log_abandoned(transport)
@@ -200,8 +202,8 @@
         self._drop_timeout()
 
     @property
-    def _is_complete(self) -> bool:
-        """Whether the last response has been received completely."""
+    def _has_whole_response(self) -> bool:
+        """Whether the last response has been received, and none is awaited."""
         payload = self._payload
         return not self.awaiting_head and (payload is None or payload.is_eof())
 
@@ -209,7 +211,7 @@
         if not self._id_header:
             return
         LOG.info(
-            "connection closed before the end of its response",
+            "connection closed before the end of a request",
             extra={
                 "event": "answer.abandoned",
                 "request_id": self.expected_id,
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -1,5 +1,6 @@
 """Connections that HTTP client sessions reuse."""
 
+import asyncio
 import contextlib
 import logging
 
@@ -10,6 +11,8 @@
 from examples.standins import scripted_target
 
 ID_HEADER = "X-Request-Id"
+# More than the kernel buffers.
+LONG_BODY_BYTES = 8 << 20
 
 
 async def respond(request, writer):
@@ -114,3 +117,35 @@
                 await response.read()
     await target.stop()
     assert outcomes == ["opened", "reused", "reused"]
+
+
+async def test_refused_request_is_not_delivered_after_its_refusal():
+    """The rest of a long body was sent on after another target had it."""
+    received = asyncio.Queue()
+
+    async def refuse_early(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(
+            b"HTTP/1.1 503 Full\r\nX-Request-Id: q1\r\nX-Not-Executed: 1\r\n"
+            b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+        )
+        await asyncio.sleep(0.1)
+        size_bytes = 0
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(1 << 16):
+                size_bytes += len(data)
+        await received.put(size_bytes)
+        writer.close()
+
+    server = await asyncio.start_server(refuse_early, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    async with sessions.open_session(id_header=ID_HEADER) as session:
+        async with session.post(
+            f"http://{host}:{port}/x",
+            headers={ID_HEADER: "q1"},
+            data=bytes(LONG_BODY_BYTES),
+        ) as response:
+            assert response.status == 503
+        async with asyncio.timeout(5):
+            assert await received.get() < LONG_BODY_BYTES
+    server.close()
