Leave idle connections that one request may not use to others

The key of the id is also hashed once a request, not once for each connection.

test_cancelled_chat_leaves_idle_connections_to_others: red before (six connections for four).

--- a/src/bulrushdale/forwarding/carried_requests.py
+++ b/src/bulrushdale/forwarding/carried_requests.py
@@ -14,10 +14,10 @@
     carried a request with this id before.
     """
 
-    __slots__ = ("_hashes", "_count")
+    __slots__ = ("_keys", "_count")
 
     def __init__(self) -> None:
-        self._hashes: set[int] = set()
+        self._keys: set[int] = set()
         self._count = 0
 
     @property
@@ -30,25 +30,31 @@
         """Whether the connection takes no more requests."""
         return self._count >= MAX_CARRIED_REQUESTS
 
-    def allows(self, request_id: str | None) -> bool:
-        """Return whether the connection may carry a request.
+    def allows(self, key: int | None) -> bool:
+        """Return whether the response to a request could be told from others.
 
-        :param request_id: its id. Nothing tells the response to a request
-            without an id, so that takes a new connection.
+        :param key: the request's key. Without an id only a new connection
+            tells; later requests on it know that a response without an id
+            isn't theirs.
         """
-        if request_id is None:
-            return not self._count
-        return not self.full and _hash(request_id) not in self._hashes
+        return not self._count if key is None else key not in self._keys
 
-    def add(self, request_id: str | None) -> None:
+    def add(self, key: int | None) -> None:
         """Record that the connection carries a request.
 
-        :param request_id: its id; none if it has none.
+        :param key: the request's key.
         """
         self._count += 1
-        if request_id is not None:
-            self._hashes.add(_hash(request_id))
+        if key is not None:
+            self._keys.add(key)
 
 
-def _hash(request_id: str) -> int:
+def request_key(request_id: str | None) -> int | None:
+    """Return the key of a request.
+
+    :param request_id: its id.
+    :return: the key; none if the request has no id.
+    """
+    if request_id is None:
+        return None
     return hashing.hash64(request_id.encode("utf-8", "surrogateescape"))
--- a/src/bulrushdale/forwarding/sessions.py
+++ b/src/bulrushdale/forwarding/sessions.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections import abc
+import contextvars
 import dataclasses
+import enum
 import functools
 import logging
 import socket
@@ -54,6 +56,15 @@
     carried: int
 
 
+class _Unusable(enum.Enum):
+    """Why an idle connection doesn't carry a request."""
+
+    # It carried the request before, or nothing tells their responses apart.
+    AMBIGUOUS = "ambiguous"
+    # It carries no request any more.
+    FULL = "full"
+
+
 class _Protocol(client_proto.ResponseHandler):
     """Reads responses, and discards those to other requests.
 
@@ -89,17 +100,22 @@
         """
         self.expected_id = request.headers.get(self._id_header)
         use = ConnectionUse(self.address, self.carried.count)
-        self.carried.add(self.expected_id)
+        self.carried.add(carried_requests.request_key(self.expected_id))
         return use
 
-    def may_carry(self, request: aiohttp.ClientRequest) -> bool:
-        """Return whether the response to a request could be told from others.
+    def unusable_reason(self, request_key: int | None) -> _Unusable | None:
+        """Return why a request doesn't use this idle connection.
 
-        :param request: the request.
+        :param request_key: the request's key.
+        :return: the reason; none if it may use it.
         """
-        return not self._id_header or self.carried.allows(
-            request.headers.get(self._id_header)
-        )
+        if not self._id_header:
+            return None
+        if self.carried.full:
+            return _Unusable.FULL
+        if not self.carried.allows(request_key):
+            return _Unusable.AMBIGUOUS
+        return None
 
     @property
     def address(self) -> str:
@@ -301,7 +317,12 @@
         self._factory = functools.partial(  # type: ignore[assignment]
             _Protocol, loop=self._loop, end=end, id_header=id_header
         )
+        self._id_header = id_header
         self._on_use = on_use
+        # aiohttp passes only the peer of the request on to the pool.
+        self._request: contextvars.ContextVar[aiohttp.ClientRequest] = (
+            contextvars.ContextVar("request")
+        )
 
     async def connect(
         self,
@@ -313,34 +334,59 @@
 
         :param req: the request.
         """
-        self._close_unusable(req)
+        self._request.set(req)
         connection = await super().connect(req, traces, timeout)
         protocol = typing.cast(_Protocol, connection.protocol)
         self._on_use("reused" if protocol.carried.count else "opened")
         return connection
 
-    def _close_unusable(self, request: aiohttp.ClientRequest) -> None:
-        """Close idle connections that may not carry a request."""
-        idle = self._conns.get(request.connection_key, ())
-        for protocol, _ in typing.cast(_IdleConnections, idle):
-            if protocol.may_carry(request):
-                continue
-            reason = "full" if protocol.carried.full else "ambiguous"
-            self._on_use(reason)
-            LOG.info(
-                "idle connection not reused",
-                extra={
-                    "event": "answer.other_connection",
-                    "connection": protocol.address,
-                    "carried": protocol.carried.count,
-                    "reason": reason,
-                },
-            )
-            protocol.close()
+    async def _get(
+        self, key: typing.Any, traces: list[typing.Any]
+    ) -> aiohttp_connector.Connection | None:
+        """Return an idle connection that may carry the current request.
 
+        :param key: the peer that it is connected to.
+        :return: the connection; none if there is none.
+        """
+        idle = self._conns.get(key)
+        if not idle:
+            return await super()._get(key, traces)
+        request_id = self._request.get().headers.get(self._id_header)
+        request_key = carried_requests.request_key(request_id)
+        passed_over = []
+        for entry in list(idle):
+            protocol = typing.cast(_Protocol, entry[0])
+            reason = protocol.unusable_reason(request_key)
+            if reason is _Unusable.AMBIGUOUS:
+                idle.remove(entry)
+                passed_over.append(entry)
+            elif reason is not None:
+                self._pass_over(protocol, request_id, reason)
+                protocol.close()
+        if passed_over:
+            first = typing.cast(_Protocol, passed_over[0][0])
+            self._pass_over(first, request_id, _Unusable.AMBIGUOUS)
+        # Nothing is awaited in between, as there are no traces.
+        connection = await super()._get(key, traces)
+        if passed_over:
+            self._conns[key].extendleft(reversed(passed_over))
+        return connection
 
-# With the time since which they are idle.
-_IdleConnections = abc.Iterable[tuple[_Protocol, float]]
+    def _pass_over(
+        self, protocol: _Protocol, request_id: str | None, reason: _Unusable
+    ) -> None:
+        """Log and count that a request doesn't use an idle connection."""
+        self._on_use(reason.value)
+        LOG.info(
+            "idle connection not reused",
+            extra={
+                "event": "answer.other_connection",
+                "request_id": request_id,
+                "connection": protocol.address,
+                "carried": protocol.carried.count,
+                "reason": reason.value,
+            },
+        )
 
 
 def open_session(
--- a/tests/test_engine_errors.py
+++ b/tests/test_engine_errors.py
@@ -1,5 +1,6 @@
 """Faulty responses of targets in the composition with a catalogue."""
 
+import asyncio
 import collections
 import contextlib
 import types
@@ -230,3 +231,39 @@
                 statuses[outcome.status] += 1
         assert not script.ran
         assert statuses == {503: 4}
+
+
+async def test_cancelled_chat_leaves_idle_connections_to_others():
+    """Each cancelled chat cost the next chats a connection each."""
+    connections = set()
+    together = asyncio.Barrier(3)
+
+    async def script(request, writer):
+        connections.add(writer)
+        if request.request_id.startswith("together"):
+            await together.wait()
+        writer.write(scripted_target.response(request))
+
+    async with running_target(script, daemon.TARGET_ID_HEADER) as (
+        target,
+        session,
+    ):
+        url = f"http://{target.address}"
+
+        async def send(request_id):
+            headers = {daemon.TARGET_ID_HEADER: request_id}
+            async with session.get(url, headers=headers) as response:
+                await response.read()
+
+        for number in range(2):
+            if number:
+                stream = engine_stream.EngineStream(
+                    session, url, "q1", clock_module.Clock()
+                )
+                stream.stream_id = "s1"
+                await stream.cancel()
+            await asyncio.gather(
+                *(send(f"together{number}{n}") for n in "abc")
+            )
+    # Three, and one for the cancellation.
+    assert len(connections) <= 4
