Don't reuse a connection on which a peer sent bytes that nobody asked for

An idle connection that received anything is closed now.

test_second_answer_is_not_that_to_the_next_read: red before. test_copied_refusals.py now also asks that requests did come again.

--- a/src/bulrushdale/forwarding/sessions.py
+++ b/src/bulrushdale/forwarding/sessions.py
@@ -63,6 +63,7 @@
     AMBIGUOUS = "ambiguous"
     # It carries no request any more.
     FULL = "full"
+    UNASKED = "unasked"
 
 
 class _Protocol(client_proto.ResponseHandler):
@@ -109,6 +110,8 @@
         :param request_key: the request's key.
         :return: the reason; none if it may use it.
         """
+        if self.should_close:
+            return _Unusable.UNASKED
         if not self._id_header:
             return None
         if self.carried.full:
@@ -131,7 +134,11 @@
         The parser returns nothing from data in which it finds an error.
         Without the split, invalid bytes after a valid head would lose the
         head as well.
+
+        A connection on which data arrives that nobody asked for isn't reused.
         """
+        if data and self._has_whole_response:
+            self.force_close()
         end = data.find(_HEAD_END) if self.awaiting_head else -1
         if end < 0:
             super().data_received(data)
--- a/tests/test_copied_refusals.py
+++ b/tests/test_copied_refusals.py
@@ -151,7 +151,10 @@
     ]
     assert not refused_and_ran
     assert max(ran.values()) == 1
-    assert max(refusals_by_connection(router).values()) == 1
+    refusals = refusals_by_connection(router)
+    assert max(refusals.values()) == 1
+    came_again = collections.Counter(request_id for request_id, _ in refusals)
+    assert max(came_again.values()) > 1
 
 
 @pytest.mark.parametrize("copies_when_idle", [False, True])
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -12,10 +12,12 @@
 
 from bulrushdale import clock as clock_module
 from bulrushdale.forwarding import connections
+from bulrushdale.forwarding import sessions
 from bulrushdale.platform import log as log_module
 from bulrushdale.platform import store as store_module
 from bulrushdale import records
 from examples import ports
+from examples.standins import scripted_target
 from examples.standins import store as store_standin
 
 
@@ -273,3 +275,32 @@
         store = store_module.Store(session, str(server.make_url("")))
         with pytest.raises(records.SourceError, match="within a frame"):
             await store.read("keyed.op", 0)
+
+
+@contextlib.asynccontextmanager
+async def store_answering_twice():
+    """A client of a store that writes its first answer once more."""
+
+    async def answer(request, writer):
+        topic = request.line.partition("topic=")[2].partition("&")[0]
+        content = len(topic).to_bytes(4) + topic.encode()
+        response = scripted_target.response(request, body=bytes(16) + content)
+        writer.write(response)
+        if topic == "first":
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.02, writer.write, response)
+
+    target = scripted_target.ScriptedTarget(answer)
+    await target.start()
+    async with sessions.open_session() as session:
+        yield store_module.Store(session, f"http://{target.address}")
+    await target.stop()
+
+
+async def test_second_answer_is_not_that_to_the_next_read():
+    """All later reads on the connection got records of the topic before."""
+    async with store_answering_twice() as store:
+        for topic in ("first", "second", "third"):
+            page = await store.read_raw(topic, 0)
+            assert page.records == [topic.encode()]
+            await asyncio.sleep(0.05)
