--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -107,6 +107,24 @@
     assert client.outcomes == ["opened", "opened"]
 
 
+@pytest.mark.parametrize("copied_bytes", [1, 30, None])
+async def test_copy_on_an_idle_connection_does_not_delay_the_next_request(
+    client, copied_bytes
+):
+    async def respond_twice(request, writer):
+        response = scripted_target.response(request)
+        writer.write(response)
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.01, writer.write, response[:copied_bytes])
+
+    client.target.script = respond_twice
+    async with asyncio.timeout(2):
+        await client.send("q1")
+        await asyncio.sleep(0.05)
+        await client.send("q2")
+    assert client.outcomes == ["opened", "unasked", "opened"]
+
+
 async def test_session_without_ids_reuses_connections():
     target = scripted_target.ScriptedTarget(respond)
     await target.start()
