Let no earlier request end the half-open state of a target

What callers saw: after a back-off the whole backlog went to a target that had accepted nothing since, and was refused or waited there.

Cause: any response that came after the end of the back-off ended the half-open state, also one to a request that the target had accepted before it asked for the back-off. That says nothing of what it accepts now. The state now ends only with a request that was sent after the back-off.

It reads when requests are sent from the router's log, so load doesn't turn it red.

--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -619,7 +619,7 @@
                 asked_ms=head.retry_after_ms,
             )
         elif not head.not_run:
-            target.record_accepted()
+            target.record_accepted(self._sent_ms)
 
     def _record_failure(
         self, target: targets_module.Target, failure: attempt.OutcomeUnknown
--- a/src/bulrushdale/routing/targets.py
+++ b/src/bulrushdale/routing/targets.py
@@ -390,9 +390,14 @@
             now_ms = self._clock.now_ms()
             self._next_half_open_ms = now_ms + backoff.HALF_OPEN_INTERVAL_MS
 
-    def record_accepted(self) -> None:
-        """End its half-open state, as it accepted a request."""
-        if self._clock.now_ms() >= self.backoff_until_ms:
+    def record_accepted(self, sent_ms: int) -> None:
+        """End its half-open state, if it accepted a request in it.
+
+        What it accepted before a back-off may respond after it.
+
+        :param sent_ms: when the request was sent, in ms of the clock.
+        """
+        if sent_ms >= self.backoff_until_ms:
             self._half_open = False
 
 
--- a/tests/test_target_news.py
+++ b/tests/test_target_news.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
+import logging
 
 import aiohttp
 import pytest
@@ -17,6 +19,9 @@
 from tests import test_selection
 
 LISTING = test_selection.LISTING
+BURSTS = 3
+# Fewer than the slots of the targets, so that the router refuses none.
+BURST_REQUESTS = 12
 
 
 @pytest.fixture
@@ -54,6 +59,9 @@
     return script
 
 
+REJECT = respond_with("503 Full", X_Not_Executed="1", Retry_After="0.2")
+
+
 async def leaving_stream(request, writer):
     head = scripted_target.stream_head(request)
     writer.write(head.replace(b"\r\n\r\n", b"\r\nServer-Leaving: 1\r\n\r\n"))
@@ -180,6 +188,75 @@
     assert len(overloaded.received) == 2
 
 
+async def hang(request, writer):
+    await asyncio.sleep(30)
+
+
+async def intervals_of_bursts(deployment, caplog):
+    """Send bursts of requests; return the intervals at the first target.
+
+    The router logs each request as it sends it, so the machine's load doesn't
+    shorten the intervals.
+
+    :return: intervals between the requests that it was sent, in ms.
+    """
+    caplog.clear()
+    waiting = []
+    for _ in range(BURSTS):
+        for _ in range(BURST_REQUESTS):
+            sending = send(deployment, 100 + len(waiting))
+            waiting.append(asyncio.create_task(sending))
+        await asyncio.sleep(backoff.HALF_OPEN_INTERVAL_MS * 1.2 / 1000)
+    await asyncio.gather(*waiting)
+    sent_s = [
+        record.created
+        for record in caplog.records
+        if getattr(record, "event", "") == "request.placed"
+        and record.target == "t1"
+    ]
+    return [
+        (later_s - earlier_s) * 1000
+        for earlier_s, later_s in itertools.pairwise(sent_s)
+    ]
+
+
+async def test_request_accepted_before_a_backoff_releases_no_backlog(
+    deployment, caplog
+):
+    """Its response shows nothing of what the target accepts now."""
+    caplog.set_level(logging.INFO)
+    overloaded = deployment.targets[0]
+    may_end = asyncio.Event()
+
+    async def respond_late(request, writer):
+        await may_end.wait()
+        writer.write(scripted_target.response(request))
+
+    def count_received():
+        return sum(len(target.received) for target in deployment.targets)
+
+    overloaded.script = respond_late
+    early = []
+    while not overloaded.received:
+        sending = send(deployment, len(early), "/order/x", method="POST")
+        early.append(asyncio.create_task(sending))
+        async with asyncio.timeout(3):
+            while count_received() < len(early):  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+    overloaded.script = REJECT
+    number = 50
+    while len(overloaded.received) == 1:
+        number += 1
+        await send(deployment, number)
+    overloaded.script = hang
+    await asyncio.sleep(0.3)
+    may_end.set()
+    assert {status for status, _ in await asyncio.gather(*early)} == {200}
+    intervals_ms = await intervals_of_bursts(deployment, caplog)
+    assert intervals_ms
+    assert min(intervals_ms) > backoff.HALF_OPEN_INTERVAL_MS - 1
+
+
 async def test_caller_gets_retry_after_if_all_targets_back_off(deployment):
     for target in deployment.targets:
         target.script = respond_with(
@@ -249,7 +326,7 @@
     target.back_off(10)
     clock.advance(1_999)
     assert target.backing_off
-    target.record_accepted()
+    target.record_accepted(clock.now_ms())
     assert target.backing_off
 
 
