Apply all releases of a frame before granting anything

What callers saw: an engine could get a request above the load bound, and was slower for all that run on it, when several answers ended at about the same time; more so on a busy machine, where one frame carries the news of more of them.

Cause: the frame handler gave a coordinator the starts of a frame first and then its releases one by one, and each of them lets queued requests start. The slots whose release came later in the same frame still counted for the mean, so the bound was that of load which the coordinator could know to be gone.

Now a frame's releases are applied together, before its starts, and only then are slots granted. Attachments stay before both: the slots that they list may be released in the same frame.

Tests: test_releases_of_a_frame_come_before_grants, with the starts in the same frame or before it.

--- a/bench/model.py
+++ b/bench/model.py
@@ -345,7 +345,7 @@
 
             def release() -> None:
                 engine.running -= 1
-                scheduler.release("router", seq)
+                scheduler.release("router", [seq])
 
             start(engine, release)
             scheduler.mark_started("router", seq)
--- a/src/bulrushdale/admission/scheduler.py
+++ b/src/bulrushdale/admission/scheduler.py
@@ -1,6 +1,7 @@
 """The scheduler that a coordinator runs for one shard of targets."""
 
 import collections
+from collections import abc
 import math
 import random
 import typing
@@ -326,19 +327,29 @@
             router, seq
         )
 
-    def release(self, router: str, seq: int) -> None:
-        """Release a slot, or remove a request that is still queued."""
+    def release(self, router: str, seqs: abc.Iterable[int]) -> None:
+        """Release slots, or remove requests that are still queued.
+
+        Nothing is granted before all of them are released, because a slot
+        that has yet to be released raises the bound.
+
+        :param router: the router of the requests.
+        :param seqs: their sequence numbers.
+        """
+        for seq in seqs:
+            self._drop(router, seq)
+        self._grant_queued()
+
+    def _drop(self, router: str, seq: int) -> None:
+        """Drop a slot, or a request that is still queued."""
         slot = self._slot_table.drop((router, seq))
         if slot is None:
             self._queue.remove(
                 lambda request: request.router == router and request.seq == seq
             )
-        else:
-            held_ms = self._clock.now_ms() - slot.granted_ms
-            self._mean_hold_ms += HOLD_SMOOTHING * (
-                held_ms - self._mean_hold_ms
-            )
-        self._grant_queued()
+            return
+        held_ms = self._clock.now_ms() - slot.granted_ms
+        self._mean_hold_ms += HOLD_SMOOTHING * (held_ms - self._mean_hold_ms)
 
     def add_resumed(self, request: queue.QueuedRequest, target: str) -> None:
         """Add a slot for an answer that runs already.
--- a/src/bulrushdale/admission/schedulers.py
+++ b/src/bulrushdale/admission/schedulers.py
@@ -1,6 +1,7 @@
 """The schedulers that one router runs, and the routers attached to them."""
 
 import collections
+from collections import abc
 import random
 import typing
 
@@ -260,12 +261,12 @@
                 scheduler.mark_started(router, seq)
                 return
 
-    def release(self, router: str, seq: int) -> None:
-        """Release a slot, or remove a request that is still queued."""
+    def release(self, router: str, seqs: abc.Collection[int]) -> None:
+        """Release slots, or remove requests that are still queued."""
         for scheduler in self._schedulers.values():
-            if scheduler.tracks(router, seq):
-                scheduler.release(router, seq)
-                return
+            found = [seq for seq in seqs if scheduler.tracks(router, seq)]
+            if found:
+                scheduler.release(router, found)
 
     def orphan(self, router: str) -> None:
         """Keep the slots of a lost router while their work may still run."""
--- a/src/bulrushdale/admission/slot_client.py
+++ b/src/bulrushdale/admission/slot_client.py
@@ -268,7 +268,7 @@
 
     def _return_slot(self, coordinator: str, seq: int) -> None:
         if coordinator == self._scope.own:
-            self._own_schedulers.release(self._scope.own, seq)
+            self._own_schedulers.release(self._scope.own, [seq])
             return
         link = self._scope.links.get(coordinator)
         if link is not None:
--- a/src/bulrushdale/peering.py
+++ b/src/bulrushdale/peering.py
@@ -97,7 +97,8 @@
         """Handle the messages of one frame.
 
         Attachments come before slot requests, so that the router of a request
-        in the same frame is attached.
+        in the same frame is attached, and releases before starts, which let
+        queued requests start.
         """
         context = self._context
         peer = link.peer.name
@@ -107,10 +108,9 @@
         for attach in frame.attaches:
             key = (attach.pool, attach.shard)
             context.schedulers.attach(key, peer, list(attach.held))
+        context.schedulers.release(peer, frame.releases)
         for seq in frame.begun:
             context.schedulers.mark_started(peer, seq)
-        for seq in frame.releases:
-            context.schedulers.release(peer, seq)
         for request in frame.slot_requests:
             with self._placement_span(request):
                 context.schedulers.handle_request(request, peer)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -96,7 +96,7 @@
         return [s for s, r in self.replies.items() if r.code == 0]
 
     def release(self, seq: int) -> None:
-        self.scheduler.release("router-0", seq)
+        self.scheduler.release("router-0", [seq])
         self.mark_started()
         self.advance(50)
 
@@ -225,7 +225,7 @@
         harness.submit()
     harness.clock.advance(60_000)
     for seq in harness.granted():
-        harness.scheduler.release("router-0", seq)
+        harness.scheduler.release("router-0", [seq])
     for _ in range(4 * SLOTS):
         harness.submit()
     for _ in range(5):
--- a/tests/test_slot_client.py
+++ b/tests/test_slot_client.py
@@ -113,6 +113,32 @@
     assert network.violations == []
 
 
+@pytest.mark.parametrize("starts_in_frame", [False, True])
+def test_releases_of_a_frame_come_before_grants(
+    network, starts_in_frame: bool
+) -> None:
+    """A slot that has yet to be released would raise the bound."""
+    home = coordinator(network, "router-0")
+    name = next(name for name in NAMES if name != home)
+    for _ in range(30):
+        network.request_slot(name, 0)
+    network.settle()
+    network.clock.advance(50)
+    network.maintain(home)
+    network.flush(home, name)
+    network.handle_frames(name, home)
+    if not starts_in_frame:
+        network.settle()
+    node = network.nodes[name]
+    kept = node.grants[0].target
+    for grant in node.grants:
+        if grant.target != kept:
+            node.slot_client.release(grant)
+    network.clock.advance(50)
+    network.settle()
+    assert network.violations == []
+
+
 class Fleet(stateful.RuleBasedStateMachine):
     """Partitions, freezes, delays and surges in any order."""
 
