Keep the slots of a killed router for 5 s, not for 20 s

What callers saw: after a router was killed, the others served a third of what they had served before, for 20 s.

Cause: a lost router's slots count for their targets, but not for the mean, until its answers have surely ended: 5 s if it has stopped, 20 s if it can't be reached. Which of them it is was asked when the link was lost. Only a refused connection tells, the router is dialled after the loss, and an opened link clears the sign; so the answer was always 20 s.

Now each tick of a coordinator asks again and shortens the time to 5 s after the loss.

Tests: test_slots_of_killed_router_are_kept_for_5_s_at_most fails on the sources before (4 slots after 5 s).

--- a/src/bulrushdale/admission/scheduler.py
+++ b/src/bulrushdale/admission/scheduler.py
@@ -400,16 +400,24 @@
         self._slot_table.drop_router(router)
         self._grant_queued()
 
-    def orphan(self, router: str, keep_ms: int) -> None:
+    def orphan(self, router: str, until_ms: int) -> None:
         """Keep the slots of a lost router while their work may still run.
 
         Its queued requests are removed.
 
         :param router: the router that can't be reached any more.
-        :param keep_ms: how long to keep them, in ms.
+        :param until_ms: until when to keep them, in ms of the clock.
         """
         self._remove_queued(router)
-        self._slot_table.orphan(router, self._clock.now_ms() + keep_ms)
+        self._slot_table.orphan(router, until_ms)
+
+    def shorten_orphan(self, router: str, until_ms: int) -> None:
+        """Keep the slots of a lost router no longer than until a time.
+
+        :param router: the router; one that is attached keeps its slots.
+        :param until_ms: until when to keep them, in ms of the clock.
+        """
+        self._slot_table.shorten_orphan(router, until_ms)
 
     def _remove_queued(self, router: str) -> None:
         self._queue.remove(lambda request: request.router == router)
--- a/src/bulrushdale/admission/schedulers.py
+++ b/src/bulrushdale/admission/schedulers.py
@@ -59,6 +59,9 @@
         self._quorums: dict[
             session_module.ShardKey, tuple[int, bound.QuorumState]
         ] = {}
+        # When the links to routers were lost that are not known to have
+        # stopped, in ms of the clock.
+        self._lost_ms: dict[str, int] = {}
 
     def scheduler(
         self, key: session_module.ShardKey
@@ -275,14 +278,27 @@
                 continue
             attached.discard(router)
             self._expire_quorum(key)
-            member = self._scope.members.get(router)
-            stopped = member is None or member.connection_refused
-            keep_ms = (
-                STOPPED_ROUTER_KEEP_MS
-                if stopped
-                else UNREACHABLE_ROUTER_KEEP_MS
+            now_ms = self._scope.clock.now_ms()
+            self._lost_ms[router] = now_ms
+            self.scheduler(key).orphan(
+                router, now_ms + UNREACHABLE_ROUTER_KEEP_MS
             )
-            self.scheduler(key).orphan(router, keep_ms)
+
+    def _shorten_orphans(self) -> None:
+        """Keep the slots of routers that have stopped for a shorter time.
+
+        Only a refused connection tells that a router has stopped, and it is
+        dialled after its link was lost.
+        """
+        for router, lost_ms in list(self._lost_ms.items()):
+            member = self._scope.members.get(router)
+            if member is not None and not member.connection_refused:
+                continue
+            del self._lost_ms[router]
+            for scheduler in self._schedulers.values():
+                scheduler.shorten_orphan(
+                    router, lost_ms + STOPPED_ROUTER_KEEP_MS
+                )
 
     def queued(self) -> int:
         """Return the number of queued requests of all schedulers."""
@@ -290,6 +306,7 @@
 
     def tick(self) -> None:
         """Refresh each quorum, then run each scheduler's periodic work."""
+        self._shorten_orphans()
         for key in self._schedulers:
             self.quorum(key)
         for scheduler in self._schedulers.values():
--- a/src/bulrushdale/admission/slot_table.py
+++ b/src/bulrushdale/admission/slot_table.py
@@ -285,6 +285,12 @@
         self._orphan_deadlines[router] = until_ms
         self._count_orphans()
 
+    def shorten_orphan(self, router: str, until_ms: int) -> None:
+        """Keep the slots of a lost router no longer than until a time."""
+        known_ms = self._orphan_deadlines.get(router)
+        if known_ms is not None:
+            self._orphan_deadlines[router] = min(known_ms, until_ms)
+
     def expire_orphans(self) -> bool:
         """Drop the slots of lost routers whose deadline has passed.
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -287,7 +287,7 @@
     for _ in range(8):
         harness.submit()
     held = dict(harness.scheduler.loads())
-    harness.scheduler.orphan("router-0", 5_000)
+    harness.scheduler.orphan("router-0", harness.clock.now_ms() + 5_000)
     harness.seq += 100
     now_ms = harness.clock.now_ms()
     for seq in range(3):
--- a/tests/test_slot_client.py
+++ b/tests/test_slot_client.py
@@ -139,6 +139,22 @@
     assert network.violations == []
 
 
+def test_slots_of_killed_router_are_kept_for_5_s_at_most(network) -> None:
+    """A refused connection shows the kill only after the link was lost."""
+    home = coordinator(network, "router-0")
+    killed, other = (name for name in NAMES if name != home)
+    surge(network, killed, 4)
+    network.nodes[killed].frozen = True
+    network.close(network.nodes[home], killed)
+    network.step(100)
+    network.nodes[home].members.get(killed).connection_refused = True
+    scheduler = network.nodes[home].schedulers.scheduler(("chat", 0))
+    network.step(4_500)
+    assert scheduler.in_flight == 4
+    network.step(500)
+    assert scheduler.in_flight == 0
+
+
 class Fleet(stateful.RuleBasedStateMachine):
     """Partitions, freezes, delays and surges in any order."""
 
