Free the slots of a killed router once reports show the end of its answers

Cause: the killed router's slots, about one on each engine, count for the engine but not for the mean. The others then start less, which lowers the mean and with it the bound, which lowers what they may start, down to the least bound of 2 less the slots of the router that is gone. Its answers of 0.2 s had ended; the engines said so each second, but reports were used for external load only.

A router that has stopped starts nothing any more. So a report of the time after its stop is a limit on what runs of it: slots beyond that are dropped. A report may be 1 s old, so it is used from 1 s after the link was lost; targets are asked four times a second meanwhile. Nothing changes for a router that can't be reached: it may still use a grant.

Tests: test_slots_of_killed_router_end_with_their_answers[True-0] fails on the sources before (4 slots after 2.5 s), [False-4] guards the other kind; test_reports_free_slots_of_stopped_router has the times (it can't run on the sources before). What is left: where each engine has one slot of the killed router and one short answer after another, no report shows less than one.

--- a/src/bulrushdale/admission/scheduler.py
+++ b/src/bulrushdale/admission/scheduler.py
@@ -261,14 +261,15 @@
         """Return whether more load reports may show free capacity.
 
         This is so with a majority that isn't complete, until reports have
-        ruled out external load on every usable target. A new tenure clears
-        what earlier reports showed.
+        ruled out external load on every usable target, and as long as slots
+        of a stopped router are kept. A new tenure clears what earlier
+        reports showed.
         """
         quorum = self._quorum()
         if quorum.complete or not quorum.majority:
             return False
         self._slot_table.apply_tenure(quorum)
-        return not all(
+        return self._slot_table.has_stopped_orphans() or not all(
             self._slot_table.external_load_ruled_out(target.name)
             for target in self._usable()
         )
@@ -411,13 +412,16 @@
         self._remove_queued(router)
         self._slot_table.orphan(router, until_ms)
 
-    def shorten_orphan(self, router: str, until_ms: int) -> None:
-        """Keep the slots of a lost router no longer than until a time.
+    def shorten_orphan(
+        self, router: str, stopped_ms: int, until_ms: int
+    ) -> None:
+        """Keep the slots of a stopped router no longer than until a time.
 
         :param router: the router; one that is attached keeps its slots.
+        :param stopped_ms: since when it starts no work, in ms of the clock.
         :param until_ms: until when to keep them, in ms of the clock.
         """
-        self._slot_table.shorten_orphan(router, until_ms)
+        self._slot_table.shorten_orphan(router, stopped_ms, until_ms)
 
     def _remove_queued(self, router: str) -> None:
         self._queue.remove(lambda request: request.router == router)
--- a/src/bulrushdale/admission/schedulers.py
+++ b/src/bulrushdale/admission/schedulers.py
@@ -297,7 +297,7 @@
             del self._lost_ms[router]
             for scheduler in self._schedulers.values():
                 scheduler.shorten_orphan(
-                    router, lost_ms + STOPPED_ROUTER_KEEP_MS
+                    router, lost_ms, lost_ms + STOPPED_ROUTER_KEEP_MS
                 )
 
     def queued(self) -> int:
--- a/src/bulrushdale/admission/slot_table.py
+++ b/src/bulrushdale/admission/slot_table.py
@@ -96,6 +96,7 @@
         "_recent_grants",
         "_orphan_deadlines",
         "_orphan_counts",
+        "_stopped_ms",
         "_histories",
         "_external",
         "_min_external",
@@ -116,6 +117,7 @@
         )
         self._orphan_deadlines: dict[str, int] = {}
         self._orphan_counts: collections.Counter[str] = collections.Counter()
+        self._stopped_ms: dict[str, int] = {}
         self._histories: dict[str, LoadHistory] = {}
         self._external: dict[str, int] = {}
         self._min_external: dict[str, int] = {}
@@ -253,6 +255,7 @@
         :param started: the numbers of slots whose work has started.
         """
         self._orphan_deadlines.pop(router, None)
+        self._stopped_ms.pop(router, None)
         self._count_orphans()
         known = {key for key in self._slots if key[0] == router}
         for seq, slot in held.items():
@@ -278,6 +281,7 @@
                 self._max_external[target] += 1
             self.drop(key)
         self._orphan_deadlines.pop(router, None)
+        self._stopped_ms.pop(router, None)
         self._count_orphans()
 
     def orphan(self, router: str, until_ms: int) -> None:
@@ -285,11 +289,42 @@
         self._orphan_deadlines[router] = until_ms
         self._count_orphans()
 
-    def shorten_orphan(self, router: str, until_ms: int) -> None:
-        """Keep the slots of a lost router no longer than until a time."""
+    def shorten_orphan(
+        self, router: str, stopped_ms: int, until_ms: int
+    ) -> None:
+        """Keep the slots of a stopped router no longer than until a time.
+
+        :param router: the router.
+        :param stopped_ms: since when it starts no work, in ms of the clock.
+        :param until_ms: until when to keep them, in ms of the clock.
+        """
         known_ms = self._orphan_deadlines.get(router)
         if known_ms is not None:
             self._orphan_deadlines[router] = min(known_ms, until_ms)
+            self._stopped_ms[router] = stopped_ms
+
+    def has_stopped_orphans(self) -> bool:
+        """Return whether reports may show that orphans have ended."""
+        return bool(self._stopped_ms)
+
+    def _drop_ended_orphans(self, target: str, running: int) -> None:
+        """Drop slots of stopped routers beyond what a target reports.
+
+        Such a router starts nothing any more, so no more of its requests can
+        run than ran at the time of the report.
+        """
+        if not self._stopped_ms or self._orphan_counts[target] <= running:
+            return
+        until_ms = self._clock.now_ms() - REPORT_LAG_MS
+        ended = [
+            key
+            for key, slot in self._slots.items()
+            if slot.target == target
+            and self._stopped_ms.get(key[0], until_ms + 1) <= until_ms
+        ]
+        for key in ended[running:]:
+            self.drop(key)
+        self._count_orphans()
 
     def expire_orphans(self) -> bool:
         """Drop the slots of lost routers whose deadline has passed.
@@ -346,6 +381,7 @@
             known_max = self._max_external.get(target, running)
             possible = max(0, running - history.minimum())
             self._max_external[target] = min(known_max, possible)
+        self._drop_ended_orphans(target, running)
 
 
 def _decrease(
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -317,6 +317,39 @@
     assert sum(harness.scheduler.loads().values()) == 3
 
 
+def test_reports_free_slots_of_stopped_router(harness: Harness) -> None:
+    """Short answers of a killed router have ended long before 5 s."""
+    attach(harness, "router-1", dict.fromkeys(range(2), "engine-0"))
+    lost_ms = harness.clock.now_ms()
+    harness.quorum = bound.QuorumState(True, False, 0)
+    harness.scheduler.orphan("router-1", lost_ms + 20_000)
+    for target in harness.targets:
+        harness.scheduler.record_report(target.name, 0)
+    assert harness.scheduler.loads()["engine-0"] == 2
+    harness.scheduler.shorten_orphan("router-1", lost_ms, lost_ms + 5_000)
+    assert harness.scheduler.needs_probes()
+    harness.advance(slot_table.REPORT_LAG_MS - 1)
+    # It may tell of the time before the router stopped.
+    harness.scheduler.record_report("engine-0", 0)
+    assert harness.scheduler.loads()["engine-0"] == 2
+    harness.advance(1)
+    harness.scheduler.record_report("engine-0", 1)
+    assert harness.scheduler.loads()["engine-0"] == 1
+    harness.scheduler.record_report("engine-0", 0)
+    assert "engine-0" not in harness.scheduler.loads()
+
+
+def test_reports_free_no_slots_of_unreachable_router(
+    harness: Harness,
+) -> None:
+    """It may still use a grant that it got before it was cut off."""
+    attach(harness, "router-1", dict.fromkeys(range(2), "engine-0"))
+    harness.scheduler.orphan("router-1", harness.clock.now_ms() + 20_000)
+    harness.advance(2 * slot_table.REPORT_LAG_MS)
+    harness.scheduler.record_report("engine-0", 0)
+    assert harness.scheduler.loads()["engine-0"] == 2
+
+
 def test_chat_returns_to_its_last_target(harness: Harness) -> None:
     """It stays there even when the target of its first turn is back."""
 
--- a/tests/test_slot_client.py
+++ b/tests/test_slot_client.py
@@ -142,7 +142,7 @@
 def test_slots_of_killed_router_are_kept_for_5_s_at_most(network) -> None:
     """A refused connection shows the kill only after the link was lost."""
     home = coordinator(network, "router-0")
-    killed, other = (name for name in NAMES if name != home)
+    killed = next(name for name in NAMES if name != home)
     surge(network, killed, 4)
     network.nodes[killed].frozen = True
     network.close(network.nodes[home], killed)
@@ -155,6 +155,23 @@
     assert scheduler.in_flight == 0
 
 
+@pytest.mark.parametrize(("refused", "left"), [(True, 0), (False, 4)])
+def test_slots_of_killed_router_end_with_their_answers(
+    network, refused: bool, left: int
+) -> None:
+    """A router that can't be reached may still use a grant."""
+    home = coordinator(network, "router-0")
+    killed = next(name for name in NAMES if name != home)
+    surge(network, killed, 4)
+    network.nodes[killed].frozen = True
+    network.close(network.nodes[home], killed)
+    network.nodes[home].members.get(killed).connection_refused = refused
+    network.nodes[killed].grants.clear()
+    network.step(2_500)
+    scheduler = network.nodes[home].schedulers.scheduler(("chat", 0))
+    assert scheduler.in_flight == left
+
+
 class Fleet(stateful.RuleBasedStateMachine):
     """Partitions, freezes, delays and surges in any order."""
 
