--- a/src/bulrushdale/admission/scheduler.py
+++ b/src/bulrushdale/admission/scheduler.py
@@ -1,6 +1,7 @@
 """The scheduler that a coordinator runs for one shard of targets."""
 
 import collections
+from collections import abc
 import math
 import random
 import typing
@@ -260,14 +261,15 @@
         """Return whether more load reports may show free capacity.
 
         This is so with a majority that isn't complete, until reports have
-        ruled out external load on every usable target. A new tenure clears
-        what earlier reports showed.
+        ruled out external load on every usable target, and as long as slots
+        of a stopped router are kept. A new tenure clears what earlier
+        reports showed.
         """
         quorum = self._quorum()
         if quorum.complete or not quorum.majority:
             return False
         self._slot_table.apply_tenure(quorum)
-        return not all(
+        return self._slot_table.has_stopped_orphans() or not all(
             self._slot_table.external_load_ruled_out(target.name)
             for target in self._usable()
         )
@@ -326,19 +328,29 @@
             router, seq
         )
 
-    def release(self, router: str, seq: int) -> None:
-        """Release a slot, or remove a request that is still queued."""
+    def release(self, router: str, seqs: abc.Iterable[int]) -> None:
+        """Release slots, or remove requests that are still queued.
+
+        Nothing is granted before all of them are released, because a slot
+        that has yet to be released raises the bound.
+
+        :param router: the router of the requests.
+        :param seqs: their sequence numbers.
+        """
+        for seq in seqs:
+            self._drop(router, seq)
+        self._grant_queued()
+
+    def _drop(self, router: str, seq: int) -> None:
+        """Drop a slot, or a request that is still queued."""
         slot = self._slot_table.drop((router, seq))
         if slot is None:
             self._queue.remove(
                 lambda request: request.router == router and request.seq == seq
             )
-        else:
-            held_ms = self._clock.now_ms() - slot.granted_ms
-            self._mean_hold_ms += HOLD_SMOOTHING * (
-                held_ms - self._mean_hold_ms
-            )
-        self._grant_queued()
+            return
+        held_ms = self._clock.now_ms() - slot.granted_ms
+        self._mean_hold_ms += HOLD_SMOOTHING * (held_ms - self._mean_hold_ms)
 
     def add_resumed(self, request: queue.QueuedRequest, target: str) -> None:
         """Add a slot for an answer that runs already.
@@ -389,16 +401,27 @@
         self._slot_table.drop_router(router)
         self._grant_queued()
 
-    def orphan(self, router: str, keep_ms: int) -> None:
+    def orphan(self, router: str, until_ms: int) -> None:
         """Keep the slots of a lost router while their work may still run.
 
         Its queued requests are removed.
 
         :param router: the router that can't be reached any more.
-        :param keep_ms: how long to keep them, in ms.
+        :param until_ms: until when to keep them, in ms of the clock.
         """
         self._remove_queued(router)
-        self._slot_table.orphan(router, self._clock.now_ms() + keep_ms)
+        self._slot_table.orphan(router, until_ms)
+
+    def shorten_orphan(
+        self, router: str, stopped_ms: int, until_ms: int
+    ) -> None:
+        """Keep the slots of a stopped router no longer than until a time.
+
+        :param router: the router; one that is attached keeps its slots.
+        :param stopped_ms: since when it starts no work, in ms of the clock.
+        :param until_ms: until when to keep them, in ms of the clock.
+        """
+        self._slot_table.shorten_orphan(router, stopped_ms, until_ms)
 
     def _remove_queued(self, router: str) -> None:
         self._queue.remove(lambda request: request.router == router)
--- a/src/bulrushdale/admission/schedulers.py
+++ b/src/bulrushdale/admission/schedulers.py
@@ -1,6 +1,7 @@
 """The schedulers that one router runs, and the routers attached to them."""
 
 import collections
+from collections import abc
 import random
 import typing
 
@@ -58,6 +59,9 @@
         self._quorums: dict[
             session_module.ShardKey, tuple[int, bound.QuorumState]
         ] = {}
+        # When the links to routers were lost that are not known to have
+        # stopped, in ms of the clock.
+        self._lost_ms: dict[str, int] = {}
 
     def scheduler(
         self, key: session_module.ShardKey
@@ -260,12 +264,12 @@
                 scheduler.mark_started(router, seq)
                 return
 
-    def release(self, router: str, seq: int) -> None:
-        """Release a slot, or remove a request that is still queued."""
+    def release(self, router: str, seqs: abc.Collection[int]) -> None:
+        """Release slots, or remove requests that are still queued."""
         for scheduler in self._schedulers.values():
-            if scheduler.tracks(router, seq):
-                scheduler.release(router, seq)
-                return
+            found = [seq for seq in seqs if scheduler.tracks(router, seq)]
+            if found:
+                scheduler.release(router, found)
 
     def orphan(self, router: str) -> None:
         """Keep the slots of a lost router while their work may still run."""
@@ -274,14 +278,27 @@
                 continue
             attached.discard(router)
             self._expire_quorum(key)
-            member = self._scope.members.get(router)
-            stopped = member is None or member.connection_refused
-            keep_ms = (
-                STOPPED_ROUTER_KEEP_MS
-                if stopped
-                else UNREACHABLE_ROUTER_KEEP_MS
+            now_ms = self._scope.clock.now_ms()
+            self._lost_ms[router] = now_ms
+            self.scheduler(key).orphan(
+                router, now_ms + UNREACHABLE_ROUTER_KEEP_MS
             )
-            self.scheduler(key).orphan(router, keep_ms)
+
+    def _shorten_orphans(self) -> None:
+        """Keep the slots of routers that have stopped for a shorter time.
+
+        Only a refused connection tells that a router has stopped, and it is
+        dialled after its link was lost.
+        """
+        for router, lost_ms in list(self._lost_ms.items()):
+            member = self._scope.members.get(router)
+            if member is not None and not member.connection_refused:
+                continue
+            del self._lost_ms[router]
+            for scheduler in self._schedulers.values():
+                scheduler.shorten_orphan(
+                    router, lost_ms, lost_ms + STOPPED_ROUTER_KEEP_MS
+                )
 
     def queued(self) -> int:
         """Return the number of queued requests of all schedulers."""
@@ -289,6 +306,7 @@
 
     def tick(self) -> None:
         """Refresh each quorum, then run each scheduler's periodic work."""
+        self._shorten_orphans()
         for key in self._schedulers:
             self.quorum(key)
         for scheduler in self._schedulers.values():
--- a/tests/test_slot_client.py
+++ b/tests/test_slot_client.py
@@ -113,6 +113,65 @@
     assert network.violations == []
 
 
+@pytest.mark.parametrize("starts_in_frame", [False, True])
+def test_releases_of_a_frame_come_before_grants(
+    network, starts_in_frame: bool
+) -> None:
+    """A slot that has yet to be released would raise the bound."""
+    home = coordinator(network, "router-0")
+    name = next(name for name in NAMES if name != home)
+    for _ in range(30):
+        network.request_slot(name, 0)
+    network.settle()
+    network.clock.advance(50)
+    network.maintain(home)
+    network.flush(home, name)
+    network.handle_frames(name, home)
+    if not starts_in_frame:
+        network.settle()
+    node = network.nodes[name]
+    kept = node.grants[0].target
+    for grant in node.grants:
+        if grant.target != kept:
+            node.slot_client.release(grant)
+    network.clock.advance(50)
+    network.settle()
+    assert network.violations == []
+
+
+def test_slots_of_killed_router_are_kept_for_5_s_at_most(network) -> None:
+    """A refused connection shows the kill only after the link was lost."""
+    home = coordinator(network, "router-0")
+    killed = next(name for name in NAMES if name != home)
+    surge(network, killed, 4)
+    network.nodes[killed].frozen = True
+    network.close(network.nodes[home], killed)
+    network.step(100)
+    network.nodes[home].members.get(killed).connection_refused = True
+    scheduler = network.nodes[home].schedulers.scheduler(("chat", 0))
+    network.step(4_500)
+    assert scheduler.in_flight == 4
+    network.step(500)
+    assert scheduler.in_flight == 0
+
+
+@pytest.mark.parametrize(("refused", "left"), [(True, 0), (False, 4)])
+def test_slots_of_killed_router_end_with_their_answers(
+    network, refused: bool, left: int
+) -> None:
+    """A router that can't be reached may still use a grant."""
+    home = coordinator(network, "router-0")
+    killed = next(name for name in NAMES if name != home)
+    surge(network, killed, 4)
+    network.nodes[killed].frozen = True
+    network.close(network.nodes[home], killed)
+    network.nodes[home].members.get(killed).connection_refused = refused
+    network.nodes[killed].grants.clear()
+    network.step(2_500)
+    scheduler = network.nodes[home].schedulers.scheduler(("chat", 0))
+    assert scheduler.in_flight == left
+
+
 class Fleet(stateful.RuleBasedStateMachine):
     """Partitions, freezes, delays and surges in any order."""
 
