Use no permit that an earlier process of the router asked for

Class: a statement on an earlier attempt taken for this one's. Numbers begin at random below 65,536 now; up to four bytes more a message.

--- a/src/bulrushdale/forwarding/permits.py
+++ b/src/bulrushdale/forwarding/permits.py
@@ -11,6 +11,7 @@
 import dataclasses
 import itertools
 import logging
+import random
 import typing
 
 import orjson
@@ -33,6 +34,8 @@
 # When a router is asked again that gave no answer, or that doesn't know the
 # grantor either.
 RETRY_MS = 250
+# Small numbers keep messages short.
+MAX_FIRST_MESSAGE_ID = 1 << 16
 # A permit that took longer isn't used, as this router may have been paused.
 PERMIT_TTL_MS = 500
 # First byte of all messages here; load reports start with another one.
@@ -97,7 +100,8 @@
         self._slots = slot_grants.SlotGrants(limiter, clock)
         self._send = send
         self._clock = clock
-        self._ids = itertools.count()
+        # An answer to this router's earlier process may still be on its way.
+        self._ids = itertools.count(random.randrange(MAX_FIRST_MESSAGE_ID))
         self._pending: dict[int, asyncio.Future[int]] = {}
         self._forwards: set[asyncio.Task[None]] = set()
 
