Take no target for unreachable as the router was busy

What callers saw: 503 (3004, "no target available: 1 good") though the target accepts connections. A router whose process stands still for over 0.2 s while it connects for a request finds, when it goes on, both the connection and the end of the time for it; the end wins. It took the target as tried, and with no other one refused. Checks by connecting have told this case from an unreachable target for long; connections for requests didn't.

A connection that times out over 20 ms late, as in the checks, now leaves the target among those that may be chosen. It is suspected until its check ends, so others go first. The request was not sent, so orders may go again as well; each try asks for the time that is left, and its headers are made anew. Tunnels have a time of their own and aren't changed; a router that relays has the same gap when it connects (tunnel_server._connect).

--- a/src/bulrushdale/forwarding/attempt.py
+++ b/src/bulrushdale/forwarding/attempt.py
@@ -9,6 +9,7 @@
 import yarl
 
 from bulrushdale.forwarding import connections
+from bulrushdale.forwarding import probes
 from bulrushdale.forwarding import sessions
 from bulrushdale.routing import messages
 
@@ -26,6 +27,8 @@
     :param sent: whether the request reached the target.
     :param moved: whether the address now belongs to another target.
     :param timed_out: whether connecting timed out, without even a refusal.
+    :param inconclusive: whether this router was too busy to see in time that
+        it connected, so that the target may well be reachable.
     :param head: head of the response; none if there was no response.
     :param use: the connection of the response; none if there was no response.
     """
@@ -34,6 +37,7 @@
     sent: bool
     moved: bool = False
     timed_out: bool = False
+    inconclusive: bool = False
     head: messages.ResponseHead | None = None
     use: sessions.ConnectionUse | None = None
 
@@ -126,6 +130,8 @@
         total=None, sock_connect=connections.CONNECT_TIMEOUT_MS / 1000
     )
     url = yarl.URL(f"http://{address}{inbound.raw_target}", encoded=True)
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
     try:
         async with limit:
             response = await session.request(
@@ -139,7 +145,14 @@
     except aiohttp.ClientConnectorError as error:
         return NotRun(f"no connection: {describe(error)}", sent=False)
     except aiohttp.ConnectionTimeoutError:
-        return NotRun("connecting timed out", sent=False, timed_out=True)
+        elapsed_ms = (loop.time() - started_s) * 1000
+        overrun_ms = elapsed_ms - connections.CONNECT_TIMEOUT_MS
+        return NotRun(
+            "connecting timed out",
+            sent=False,
+            timed_out=True,
+            inconclusive=overrun_ms > probes.MAX_OVERRUN_MS,
+        )
     except TimeoutError:
         return OutcomeUnknown("timed out waiting for the response")
     except _CONNECTION_ERRORS as error:
--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -569,7 +569,10 @@
         self._request_log.count_attempt(
             "rejected" if outcome.sent else "unreachable"
         )
-        if not outcome.sent and not self._relaying:
+        if outcome.inconclusive:
+            # Suspected below, so that others are tried first.
+            self._tried.discard(target.target_id)
+        elif not outcome.sent and not self._relaying:
             self._not_connected.add(target.target_id)
         if outcome.sent:
             self._attempts += 1
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,10 +6,12 @@
 import os
 import signal
 import socket
+import time
 
 import aiohttp
 import pytest
 
+from bulrushdale.forwarding import connections
 from bulrushdale.forwarding import drain
 from bulrushdale.forwarding import ports as port_module
 from bulrushdale.routing import refusals
@@ -236,6 +238,34 @@
             assert response.status == 200
 
 
+@pytest.mark.parametrize("path", ["/lookup/x", "/order/x", "/plan/x"])
+async def test_target_is_not_unreachable_because_the_router_was_busy(
+    deployment, caller, monkeypatch, path
+):
+    """The connection was there, but the time for it was up as well."""
+    await deployment.targets[0].stop()
+    loop = asyncio.get_running_loop()
+    port = int(deployment.targets[1].address.rpartition(":")[2])
+    connect = loop.sock_connect
+    tries = []
+
+    async def connect_while_busy(sock, address):
+        if address[1] == port:
+            tries.append(address)
+            if len(tries) == 1:
+                busy_s = connections.CONNECT_TIMEOUT_MS * 1.2 / 1000
+                loop.call_soon(time.sleep, busy_s)
+        return await connect(sock, address)
+
+    monkeypatch.setattr(loop, "sock_connect", connect_while_busy)
+    async with caller.post(
+        deployment.url(path), headers=headers()
+    ) as response:
+        assert response.status == 200
+    assert tries
+    assert len(received_requests(deployment, path)) == 1
+
+
 async def cut_within_event(request, writer):
     writer.write(scripted_target.stream_head(request))
     writer.write(scripted_target.chunk(scripted_target.event(0)))
