Ignore SIGHUP before a starting router loads its settings' module

The signal was ignored only once start.py had imported the modules for ports and settings, which take about 30 of the 50 ms. They are imported after it now.

What remains is the start of the interpreter and of the package.

test_nothing_is_loaded_before_changed_settings_end_no_start: red before, green now, with the rest of tests/test_start.py and tests/test_signals.py.

--- a/src/bulrushdale/start.py
+++ b/src/bulrushdale/start.py
@@ -14,10 +14,6 @@
 import signal
 import sys
 
-from bulrushdale.forwarding import ports as ports_module
-from bulrushdale.platform import settings as platform_settings
-from bulrushdale import settings_error
-
 LOG = logging.getLogger(__name__)
 
 
@@ -27,6 +23,11 @@
     # By default the signal that the settings have changed would end the
     # process. The router reads them again once it has started.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Loaded after that, as it takes most of the time until here.
+    from bulrushdale.forwarding import ports as ports_module
+    from bulrushdale.platform import settings as platform_settings
+    from bulrushdale import settings_error
+
     try:
         settings = platform_settings.load_from_environment()
     except settings_error.SettingsError as error:
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -99,6 +99,21 @@
     assert not loaded.runs
 
 
+def test_nothing_is_loaded_before_changed_settings_end_no_start():
+    """Until it is ignored, SIGHUP ends the process."""
+    program = (
+        "import sys, bulrushdale.start;"
+        "print(*(n for n in sys.modules if n.startswith('bulrushdale')))"
+    )
+    loaded = subprocess.run(
+        [sys.executable, "-c", program],
+        stdout=subprocess.PIPE,
+        check=True,
+        text=True,
+    )
+    assert loaded.stdout.split() == ["bulrushdale", "bulrushdale.start"]
+
+
 def test_request_received_during_the_start_is_answered(settings_path, ip):
     """The real process answers as soon as it is loaded."""
     router = subprocess.Popen(
