Hear a new router that its data centre would choose as collector

In a fleet above 12 routers a new VM that comes first in the order of collectors split its data centre for good: it knew the others from the store and waited for their reports, they had never heard of it and went on reporting to the next one. The other data centres sent their totals to the new one only, so the old collector and all that report to it heard of their own group alone. After one such start the routers of a fleet of 46 knew the load of 15, 31 or 45; a group that hears less than half takes itself for cut off (streams refused while the store is slow, the slack divided by all known).

A collector to which no router of its data centre reports for 1 s reports to the next one in the order. That one then knows it, and names it in its totals. A collector also answers routers of other data centres that send it totals, so that two groups of a data centre hear of each other through it. No message more in a steady fleet.

The test's fleet now names members in its reports as the gateway does; without that no router learns of another from reports.

--- a/src/bulrushdale/routing/peers.py
+++ b/src/bulrushdale/routing/peers.py
@@ -50,6 +50,9 @@
 MAX_FULL_MESH_ROUTERS = 12
 # A collector that has not responded for this long is skipped.
 UNRESPONSIVE_AFTER_MS = 1_200
+# A collector to which no router of its data centre reports for this long
+# reports to the next one in the order.
+INTRODUCE_AFTER_MS = 1_000
 # A collector that is skipped is tried again after this time.
 COLLECTOR_RETRY_MS = 5_000
 
@@ -170,6 +173,7 @@
         "_sharing_expires_ms",
         "_grants_slots",
         "_grants_slots_expires_ms",
+        "_unheeded_since_ms",
     )
 
     def __init__(
@@ -207,6 +211,8 @@
         self._sharing_expires_ms = 0
         self._grants_slots = False
         self._grants_slots_expires_ms = 0
+        # Since when this router is a collector to which none reports.
+        self._unheeded_since_ms: int | None = None
 
     def add(
         self, address: str, member: reports.Member = reports.UNKNOWN
@@ -268,11 +274,15 @@
         """Whether every router reports to every other one."""
         return len(self._peers) < MAX_FULL_MESH_ROUTERS
 
-    def _collector_of(self, data_centre: str) -> str | None:
+    def _collector_of(
+        self, data_centre: str, include_own: bool = True
+    ) -> str | None:
         """Return the address of a data centre's collector.
 
         Unresponsive peers and those with small links are left out.
 
+        :param data_centre: the data centre.
+        :param include_own: whether it may be this router.
         :return: the address, which may be this router's; none if no router
             of the data centre can be its collector.
         """
@@ -283,7 +293,7 @@
             if peer.data_centre == data_centre
             and not self._is_unresponsive(peer, now_ms)
         }
-        if data_centre == self._data_centre:
+        if data_centre == self._data_centre and include_own:
             links_mbps[self._own_address] = self._link_mbps
         if not links_mbps:
             return None
@@ -544,6 +554,10 @@
         if collector is not None and collector != self._own_address:
             messages.append((collector, own))
         local_reports = self._local_reports()
+        if collector != self._own_address or local_reports:
+            self._unheeded_since_ms = None
+        elif (known := self._next_collector()) is not None:
+            messages.append((known, own))
         is_collector = bool(local_reports) or collector == self._own_address
         if is_collector and self._clock.now_ms() >= self._next_totals_ms:
             messages += self._totals(own, local_reports)
@@ -553,13 +567,31 @@
                 peer.unanswered_since_ms = self._clock.now_ms()
         return messages
 
+    def _next_collector(self) -> str | None:
+        """Return the router that the others may take for the collector.
+
+        They may not know this router yet, and report to the next one in the
+        order.
+
+        :return: its address; none if the others had no time to report to
+            this router, or there is no other one.
+        """
+        now_ms = self._clock.now_ms()
+        if self._unheeded_since_ms is None:
+            self._unheeded_since_ms = now_ms
+        if now_ms - self._unheeded_since_ms < INTRODUCE_AFTER_MS:
+            return None
+        return self._collector_of(self._data_centre, include_own=False)
+
     def _totals(
         self, own: reports.Report, local_reports: list[reports.Report]
     ) -> list[tuple[str, reports.Report]]:
         """Return a collector's totals, with their destinations.
 
         The routers that report to it get the fleet total, other collectors
-        the total of this data centre.
+        the total of this data centre. So do other routers that take this one
+        for a collector, as they may not know the collector of their own data
+        centre.
 
         :param own: report of this router.
         :param local_reports: reports of the other routers in this data
@@ -579,11 +611,15 @@
             data_centre_total, remote_totals.values(), is_fleet_total=True
         )
         data_centres = {peer.data_centre for peer in self._peers.values()}
-        other_collectors = [
+        other_collectors = {
             collector
             for data_centre in data_centres - {self._data_centre, ""}
             if (collector := self._collector_of(data_centre)) is not None
-        ]
+        } | {
+            report.address
+            for report in self._recent_reports(REPORT_TTL_MS)
+            if report.data_centre != self._data_centre
+        }
         interval_ms = _totals_interval_ms(len(fleet_total.targets))
         self._next_totals_ms = self._clock.now_ms() + interval_ms
         max_targets = self._max_targets(
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,6 +9,7 @@
 
 from bulrushdale.forwarding import peer_transport
 from bulrushdale.forwarding import replica as replica_module
+from bulrushdale import hashing
 from bulrushdale import records
 from bulrushdale.routing import crash_evidence
 from bulrushdale.routing import health
@@ -177,6 +178,14 @@
             for address, data_centre in addresses.items():
                 peers.add(address, reports.Member(data_centre, 0))
 
+    def add(self, address, data_centre):
+        """Start a router that knows all others, and whom none knows."""
+        peers = peers_module.Peers(address, data_centre, 0, self.clock)
+        for known, known_data_centre in self.data_centres.items():
+            peers.add(known, reports.Member(known_data_centre, 0))
+        self.data_centres[address] = data_centre
+        self.peers[address] = peers
+
     def step(self):
         """Let an interval pass, and deliver the reports of all routers.
 
@@ -196,6 +205,7 @@
                 data_centre=self.data_centres[address],
                 crashes=self.crashes.get(address, ()),
                 grants_permits=True,
+                members=peers.members(),
             )
             datagrams += [
                 (address, destination, report)
@@ -589,6 +599,31 @@
     assert fleet.known_loads() == {87}
 
 
+def first_in_order(data_centre, candidates, known):
+    """Return a candidate that comes before the known routers."""
+    key = hashing.hash64(data_centre.encode())
+    return next(a for a in candidates if hashing.winner(key, [a, *known]) == a)
+
+
+@pytest.mark.parametrize("data_centres", [1, 3])
+def test_router_that_starts_as_collector_splits_its_data_centre(
+    clock, data_centres
+):
+    """It knows the others from the store, and they don't know it."""
+    fleet = Fleet(clock, data_centres, 15)
+    for _ in range(4):
+        fleet.step()
+    for number in range(100, 104):
+        known = [a for a, dc in fleet.data_centres.items() if dc == "dc0"]
+        new = first_in_order(
+            "dc0", (f"10.0.{number}.{n}:7" for n in range(250)), known
+        )
+        fleet.add(new, "dc0")
+        for _ in range(FAILOVER_STEPS):
+            fleet.step()
+        assert fleet.known_loads() == {len(fleet.peers)}
+
+
 def test_partitioned_data_centre_knows_its_own_load(clock):
     fleet = Fleet(clock, 3, 30)
     for _ in range(4):
