Count each router once while they disagree on the size of the fleet

Around 12 known routers some take the fleet for a large one and others don't. One that does sums up what it hears and sends it to routers that hear the same ones themselves. A fleet of 5 then counted as 3 where such a sum came as that of the fleet (parts of the slack above the whole), and as 7 where it came as that of a data centre (a smaller part of the fleet could take itself for the larger one).

A sender counts alone or within its data centre's total, whichever is more, and a fleet's total counts if it is higher. In a fleet whose routers agree the numbers are those of before.

test_routers_that_disagree_on_the_size_of_the_fleet_are_miscounted: red with the sources of (3 and 7 for 5).

--- a/src/bulrushdale/routing/peers.py
+++ b/src/bulrushdale/routing/peers.py
@@ -745,13 +745,7 @@
         Shortly after the start all known routers count, because the others
         may have started together with this one and not reported yet.
         """
-        fleet_total = self._fleet_total()
-        if fleet_total is not None:
-            count = max(1, fleet_total.routers)
-        else:
-            count = 1 + sum(
-                r.routers for r in self._recent_reports(MEMBER_TTL_MS)
-            )
+        count = self._heard_routers(MEMBER_TTL_MS)
         if self._clock.now_ms() - self._started_ms < MEMBER_TTL_MS:
             return max(count, 1 + len(self._peers))
         return count
@@ -773,15 +767,32 @@
 
         One that is cut off, or has stood still, doesn't.
         """
-        fleet_total = self._fleet_total()
-        if fleet_total is not None:
-            heard = fleet_total.routers
-        else:
-            heard = 1 + sum(
-                r.routers for r in self._recent_reports(REPORT_TTL_MS)
-            )
+        heard = self._heard_routers(REPORT_TTL_MS)
         return 2 * heard > 1 + len(self._peers)
 
+    def _heard_routers(self, max_age_ms: int) -> int:
+        """Return the number of routers heard of, this one included.
+
+        While some routers know of more than others, only some take the fleet
+        for a large one. None is counted twice then, by itself and within the
+        total of its data centre, and none is left out.
+
+        :param max_age_ms: the maximum age of a report, in ms.
+        """
+        senders: collections.Counter[str] = collections.Counter()
+        totals: dict[str, int] = {}
+        for report in self._recent_reports(max_age_ms):
+            data_centre = report.data_centre
+            senders[data_centre] += 1
+            if not report.is_fleet_total:
+                known = totals.get(data_centre, 0)
+                totals[data_centre] = max(known, report.routers)
+        heard = 1 + sum(max(n, totals.get(k, 0)) for k, n in senders.items())
+        fleet_total = self._fleet_total()
+        return (
+            heard if fleet_total is None else max(heard, fleet_total.routers)
+        )
+
     def data_centres(self) -> dict[str, str]:
         """Return the data centres of the routers, by address.
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -94,6 +94,33 @@
     assert sizes[-1] == 5
 
 
+@pytest.mark.parametrize(
+    ("sender", "is_fleet_total"), [("10.0.0.2:7", True), ("10.0.0.3:7", False)]
+)
+def test_routers_that_disagree_on_the_size_of_the_fleet_are_miscounted(
+    peers, clock, sender, is_fleet_total
+):
+    """One knows of so many that it takes itself for a collector."""
+    clock.advance(peers_module.MEMBER_TTL_MS)
+    data_centres = {
+        f"10.0.0.{number}:7": data_centre
+        for number, data_centre in enumerate(("dc1", "dc2", "dc2", "dc2"), 2)
+    }
+    for address, data_centre in data_centres.items():
+        peers.receive(
+            make_report(
+                address,
+                data_centre=data_centre,
+                routers=3 if address == sender else 1,
+                is_fleet_total=address == sender and is_fleet_total,
+            )
+        )
+    assert peers.fleet_size() == 5
+    for number in range(6, 11):
+        peers.add(f"10.0.0.{number}:7")
+    assert not peers.hears_most()
+
+
 def test_load_of_peer_without_recent_report_is_ignored(peers, clock):
     """The peer itself counts as live until ``MEMBER_TTL_MS``."""
     peers.receive(make_report("10.0.0.2:7", 1, 5))
