Forget routers that are gone

Routers and their entries in the store were only added.

A router without a sign of life for 10 min is forgotten by one that heard most of all known routers the whole time. So in one cut only the larger part can forget, the smaller one goes on counting all, and the sums of the budget in a cut stay what they were; one that stood still or whose cut has ended starts its 10 min anew. No router forgets more than what exceeds the live ones by number, which covers collectors of earlier versions. In large fleets collectors pass on, 8 a sum, the members that other collectors name, in the field that exists: nothing new on the wire. The router that reads for the fleet drops the entries with the offset that it has read, so one that registers meanwhile keeps its own, and writes those that live ones lack. Records only grow against entries, so no later start passes for the first.

Two cuts in a row, the first above 10 min, may leave two parts that both take themselves for the larger.

The stand-in of the store and the registry's one know the offset now, and drop a key without a value. The large data centre of test_peers names the members of the others, so that its bound on bytes covers them.

--- a/examples/standins/store.py
+++ b/examples/standins/store.py
@@ -188,13 +188,17 @@
         return web.Response(body=orjson.dumps(body))
 
     async def _append(self, request: web.Request) -> web.Response:
-        """Append a record; respond with status 429 above the rate limit."""
+        """Append a record; respond with status 429 above the rate limit.
+
+        The status is 412 if the record would get another offset than asked."""
         data = await request.read()
+        name = request.query["topic"]
         if not self._take_append_token():
             return web.Response(status=429)
-        offset = await self._append_record(
-            request.query["topic"], data[LENGTH_BYTES:]
-        )
+        at, end = request.query.get("at"), self._topic(name).end
+        if at is not None and int(at) != end:
+            return web.Response(status=412, body=orjson.dumps({"end": end}))
+        offset = await self._append_record(name, data[LENGTH_BYTES:])
         if self.lose_answers > 0 and request.transport is not None:
             self.lose_answers -= 1
             request.transport.abort()
--- a/src/bulrushdale/forwarding/gauges.py
+++ b/src/bulrushdale/forwarding/gauges.py
@@ -95,8 +95,11 @@
     )
     gauge(
         "routers",
-        "Live routers, this one included.",
-        lambda: {"live": peers.count()},
+        "Live routers, and all that are known, this one included.",
+        lambda: {
+            "live": peers.count(),
+            "known": 1 + len(peers.addresses()),
+        },
         "state",
     )
     gauge(
--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -468,6 +468,7 @@
                 self._clock,
                 self._discovery_attempted.set,
                 self._begin_first_start,
+                self._reads_store,
             ),
             self._keep_quarantines(),
             self._version_store.run(self._saves_versions),
--- a/src/bulrushdale/platform/registry.py
+++ b/src/bulrushdale/platform/registry.py
@@ -1,5 +1,6 @@
 """Registers routers in the platform's store, where they find each other."""
 
+import collections
 from collections import abc
 import logging
 
@@ -22,6 +23,14 @@
 # Delay before registration and discovery are retried if the store fails at the
 # start.
 RETRY_DELAY_MS = 1_000
+# The router that reads the store for the fleet compares the entries with the
+# live routers this often, and when it has forgotten a router.
+ENTRIES_INTERVAL_MS = 600_000
+# Entries changed in one go. The others follow the next time.
+MAX_CHANGED_ENTRIES = 64
+# Forgotten routers that are remembered until their entries are dropped. A
+# router whose entry is found later is forgotten once more.
+MAX_FORGOTTEN = 1_024
 # Bandwidths beyond this come from another writer.
 MAX_LINK_MBPS = 10_000_000
 
@@ -55,6 +64,7 @@
     clock: clock_module.Clock,
     on_attempt: abc.Callable[[], None] = lambda: None,
     on_first_start: abc.Callable[[], None] = lambda: None,
+    reads_store: abc.Callable[[], bool] = lambda: False,
 ) -> None:
     """Register this router and discover the others until cancelled.
 
@@ -71,6 +81,8 @@
         others, whether it succeeded or failed.
     :param on_first_start: called once this router is registered, if no router
         has started twice.
+    :param reads_store: returns whether this router reads the store for the
+        fleet.
     """
     registered = False
     page = None
@@ -80,7 +92,9 @@
         on_attempt()
         if not registered or page is None:
             await clock.sleep_ms(RETRY_DELAY_MS)
-    # Each start writes one record of its router.
+    # Each start writes one record of its router. An entry that is dropped adds
+    # a record and takes a router away, one that is written again adds both, so
+    # a later start is never taken for the first one.
     starts, routers = page.next_offset, len(page.records)
     LOG.info(
         "registered this router",
@@ -92,10 +106,21 @@
     )
     if starts <= routers:
         on_first_start()
+    forgotten: collections.deque[str] = collections.deque(maxlen=MAX_FORGOTTEN)
+    next_entries_ms = clock.now_ms() + ENTRIES_INTERVAL_MS
     while True:
         await clock.sleep_ms(READ_INTERVAL_MS)
+        forgotten.extend(peers.forget())
         if not peers.live():
             await _discover(store, peers)
+        elif reads_store() and (
+            forgotten or clock.now_ms() >= next_entries_ms
+        ):
+            next_entries_ms = clock.now_ms() + ENTRIES_INTERVAL_MS
+            if await _update_entries(
+                store, peers, set(forgotten), {address: member}
+            ):
+                forgotten.clear()
 
 
 async def _register(
@@ -135,6 +160,65 @@
     return page
 
 
+async def _update_entries(
+    store: store_module.Store,
+    peers: peers_module.Peers,
+    forgotten: set[str],
+    own: abc.Mapping[str, reports.Member],
+) -> bool:
+    """Drop the entries of forgotten routers, and write those that lack.
+
+    A router that was cut off for long comes back without an entry, and so
+    does one that registered after the copy from which the store came back.
+    An entry of a router that isn't known is added: either it reports, or it
+    is forgotten in turn. Nothing is written if another router has registered
+    since the read.
+
+    :param store: the platform's store.
+    :param peers: the other routers.
+    :param forgotten: addresses of the routers that were forgotten.
+    :param own: this router, by its address.
+    :return: whether all is done.
+    """
+    known = {*peers.addresses(), *own}
+    dropped = restored = 0
+    done = False
+    try:
+        page = await store.read_newest(store_module.ROUTERS_TOPIC)
+        listed = {record.key for record in page.records}
+        for record in page.records:
+            if record.key not in known and record.key not in forgotten:
+                _add_peer(peers, record)
+        changes = [(key, b"") for key in listed & forgotten - known]
+        changes += [
+            (address, encode_member(member))
+            for address, member in {**peers.alive_members(), **own}.items()
+            if address not in listed and member.data_centre
+        ]
+        for at, (key, value) in enumerate(
+            changes[:MAX_CHANGED_ENTRIES], page.next_offset
+        ):
+            await store.put(store_module.ROUTERS_TOPIC, key, value, at)
+            dropped += not value
+            restored += bool(value)
+        done = len(changes) <= MAX_CHANGED_ENTRIES
+    except records_module.SourceError as error:
+        LOG.warning(
+            "failed to update the entries of routers",
+            extra={"event": "router.entries_kept", "reason": str(error)},
+        )
+    if dropped or restored:
+        LOG.info(
+            "entries of routers updated",
+            extra={
+                "event": "router.entries",
+                "dropped": dropped,
+                "restored": restored,
+            },
+        )
+    return done
+
+
 def _add_peer(
     peers: peers_module.Peers, record: records_module.KeyedRecord
 ) -> None:
--- a/src/bulrushdale/platform/store.py
+++ b/src/bulrushdale/platform/store.py
@@ -428,16 +428,21 @@
 
         return read
 
-    async def append(self, topic: str, content: bytes) -> int:
+    async def append(
+        self, topic: str, content: bytes, at: int | None = None
+    ) -> int:
         """Append a record.
 
         :param topic: the topic.
         :param content: the content of the record.
+        :param at: the offset that the record must get; none for any.
         :return: the offset of the record.
         :raises SourceError: if the store doesn't answer or fails; the error
             says whether the record may have been appended nevertheless.
         """
         query = {"topic": topic, "part": "0"}
+        if at is not None:
+            query["at"] = str(at)
         response = await self._request(
             "POST", "log-append", query, _frame(content)
         )
@@ -445,12 +450,15 @@
             "log-append", response.data, lambda fields: fields["offset"]
         )
 
-    async def put(self, topic: str, key: str, value: bytes) -> None:
+    async def put(
+        self, topic: str, key: str, value: bytes, at: int | None = None
+    ) -> None:
         """Append a record to a keyed topic.
 
         :param topic: the keyed topic.
         :param key: the key, at most 255 bytes in UTF-8.
-        :param value: the value of the key.
+        :param value: the value of the key; empty to drop the key.
+        :param at: the offset that the record must get; none for any.
         :raises SourceError: as for :meth:`append`.
         """
-        await self.append(topic, _encode_keyed_record(key, value))
+        await self.append(topic, _encode_keyed_record(key, value), at)
--- a/src/bulrushdale/routing/peers.py
+++ b/src/bulrushdale/routing/peers.py
@@ -15,6 +15,7 @@
 import collections
 from collections import abc
 import dataclasses
+import logging
 
 from bulrushdale import clock as clock_module
 from bulrushdale import hashing
@@ -22,6 +23,8 @@
 from bulrushdale.routing import partial_updates
 from bulrushdale.routing import reports
 
+LOG = logging.getLogger(__name__)
+
 # Interval between load reports. The load of the fleet changes within about a
 # second of a burst or of the loss of a target.
 REPORT_INTERVAL_MS = 250
@@ -68,6 +71,13 @@
 # use only their part of a rate or of an allowance. Longer than the window of
 # any allowance.
 FLEET_SIZE_MEMORY_MS = 30_000
+# A router without a sign of life for this long is gone. Longer than the cuts
+# that operators usually mend, as two cuts in a row that both last longer may
+# leave two parts of the fleet that each take themselves for the larger one.
+FORGET_AFTER_MS = 600_000
+# Members that a collector heard of through other collectors, told in each of
+# its totals in turn. 320 are told within 40 s, at a total per second.
+MAX_TOLD_MEMBERS = 8
 # Share of a target's slots that the routers of a large fleet fill unasked.
 # Each decides by a hash whether it has one, so their sum varies.
 SHARED_SLOTS = 0.75
@@ -111,6 +121,10 @@
     :ivar unresponsive_since_ms: when it was found unresponsive, in ms of the
         clock.
     :ivar report: its newest report.
+    :ivar alive_ms: when the last sign of life of it arrived, or when it was
+        added, in ms of the boot clock.
+    :ivar named_ms: when another router last named it as one that reports to
+        that router, in ms of the boot clock; none if none did.
     """
 
     __slots__ = (
@@ -120,15 +134,19 @@
         "unanswered_since_ms",
         "unresponsive_since_ms",
         "report",
+        "alive_ms",
+        "named_ms",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, now_ms: int) -> None:
         self.data_centre = ""
         self.link_mbps = 0
         self.last_report_ms: int | None = None
         self.unanswered_since_ms: int | None = None
         self.unresponsive_since_ms: int | None = None
         self.report: reports.Report | None = None
+        self.alive_ms = now_ms
+        self.named_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -173,6 +191,9 @@
         "_sharing_expires_ms",
         "_grants_slots",
         "_grants_slots_expires_ms",
+        "_most_since_ms",
+        "_heard_most_ms",
+        "_told_members",
         "_unheeded_since_ms",
     )
 
@@ -211,8 +232,13 @@
         self._sharing_expires_ms = 0
         self._grants_slots = False
         self._grants_slots_expires_ms = 0
+        # Since when this router has heard most routers, and when it last did,
+        # in ms of the boot clock.
+        self._most_since_ms = self._heard_most_ms = clock.boot_ms()
         # Since when this router is a collector to which none reports.
         self._unheeded_since_ms: int | None = None
+        # Members told in totals so far.
+        self._told_members = 0
 
     def add(
         self, address: str, member: reports.Member = reports.UNKNOWN
@@ -224,7 +250,9 @@
         """
         if address == self._own_address:
             return
-        peer = self._peers.setdefault(address, _Peer())
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._peers[address] = _Peer(self._clock.boot_ms())
         peer.data_centre = member.data_centre or peer.data_centre
         peer.link_mbps = member.link_mbps or peer.link_mbps
 
@@ -255,10 +283,102 @@
         self._peer_load_expires_ms = 0
         peer.unanswered_since_ms = None
         peer.unresponsive_since_ms = None
+        peer.alive_ms = self._clock.boot_ms()
         for address, member in report.members.items():
             self.add(address, member)
+            self._record_named(address, by_total=report.is_fleet_total)
         return True
 
+    def _record_named(self, address: str, by_total: bool) -> None:
+        """Record that a report names a router as a live one.
+
+        Fleet totals also name routers that their sender has heard of through
+        others only. These aren't told again, or routers that tell each other
+        would keep one alive that is gone.
+        """
+        peer = self._peers.get(address)
+        if peer is not None:
+            peer.alive_ms = self._clock.boot_ms()
+            if not by_total:
+                peer.named_ms = peer.alive_ms
+
+    def _watch_majority(self) -> None:
+        """Record whether this router hears most routers now.
+
+        A short gap doesn't count, but standing still does.
+        """
+        if not self.hears_most():
+            return
+        now_ms = self._clock.boot_ms()
+        if now_ms - self._heard_most_ms > MEMBER_TTL_MS:
+            self._most_since_ms = now_ms
+        self._heard_most_ms = now_ms
+
+    def forget(self) -> list[str]:
+        """Forget the routers that are gone.
+
+        A router that is cut off can't tell which of the others are gone, so
+        only one that heard most of them the whole time forgets any. It always
+        keeps as many as are live, because it doesn't hear of each one while
+        its collector is of an earlier version.
+
+        :return: their addresses.
+        """
+        self._watch_majority()
+        oldest_ms = self._clock.boot_ms() - FORGET_AFTER_MS
+        if not self.hears_most() or self._most_since_ms > oldest_ms:
+            return []
+        silent = sorted(
+            (peer.alive_ms, address)
+            for address, peer in self._peers.items()
+            if peer.alive_ms <= oldest_ms
+        )
+        surplus = 1 + len(self._peers) - self._largest_fleet_size()
+        gone = [address for _, address in silent[: max(0, surplus)]]
+        for address in gone:
+            del self._peers[address]
+            LOG.info(
+                "router forgotten",
+                extra={
+                    "event": "router.forgotten",
+                    "peer": address,
+                    "after_ms": FORGET_AFTER_MS,
+                    "known": 1 + len(self._peers),
+                },
+            )
+        return gone
+
+    def alive_members(self) -> dict[str, reports.Member]:
+        """Return the routers that are live, also by what others report."""
+        oldest_ms = self._clock.boot_ms() - MEMBER_TTL_MS
+        return {
+            address: reports.Member(peer.data_centre, peer.link_mbps)
+            for address, peer in self._peers.items()
+            if peer.alive_ms >= oldest_ms
+            and (peer.report is not None or peer.named_ms is not None)
+        }
+
+    def _members_to_tell(self) -> dict[str, reports.Member]:
+        """Return some of the routers that other collectors named lately.
+
+        The routers that report to this one hear of them only through it.
+        """
+        oldest_ms = self._clock.boot_ms() - MEMBER_TTL_MS
+        named = sorted(
+            address
+            for address, peer in self._peers.items()
+            if peer.named_ms is not None and peer.named_ms >= oldest_ms
+        )
+        if not named:
+            return {}
+        start = self._told_members % len(named)
+        self._told_members += MAX_TOLD_MEMBERS
+        members = {}
+        for address in (named + named)[start : start + MAX_TOLD_MEMBERS]:
+            peer = self._peers[address]
+            members[address] = reports.Member(peer.data_centre, peer.link_mbps)
+        return members
+
     def _recent_reports(self, max_age_ms: int) -> abc.Iterator[reports.Report]:
         """Yield the peers' latest reports up to an age, in ms."""
         oldest_ms = self._clock.now_ms() - max_age_ms
@@ -541,6 +661,7 @@
         :return: pairs of destination address and report.
         """
         self._largest_fleet_size()
+        self._watch_majority()
         if self.full_mesh:
             return [(address, own) for address in self._peers]
         self._own_reported_targets = own.targets
@@ -628,6 +749,10 @@
         fleet_total = _select_targets(
             fleet_total, self._fleet_selector, max_targets
         )
+        fleet_total = dataclasses.replace(
+            fleet_total,
+            members={**self._members_to_tell(), **fleet_total.members},
+        )
         data_centre_total = _select_targets(
             data_centre_total, self._data_centre_selector, max_targets
         )
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -440,6 +440,10 @@
                     targets=self._targets(96),
                     partial=True,
                     link_mbps=1_000,
+                    members={
+                        f"10.{n}.0.{k}:7": reports.Member(f"dc{n}", 1_000)
+                        for k in range(1, ROUTERS + 1)
+                    },
                 )
             )
         own = make_report(
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -26,11 +26,15 @@
         self.reads = 0
         self.unavailable = False
 
-    async def put(self, topic, key, value):
+    async def put(self, topic, key, value, at=None):
         await asyncio.sleep(0)
         if self.unavailable:
             raise records.SourceError("unavailable")
-        self.entries[key] = value
+        if at not in (None, self.written):
+            raise records.SourceError("unexpected status 412")
+        self.entries.pop(key, None)
+        if value:
+            self.entries[key] = value
         self.written += 1
 
     async def read_newest(self, topic):
