--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,6 +9,7 @@
 
 from bulrushdale.forwarding import peer_transport
 from bulrushdale.forwarding import replica as replica_module
+from bulrushdale import hashing
 from bulrushdale import records
 from bulrushdale.routing import crash_evidence
 from bulrushdale.routing import health
@@ -93,6 +94,33 @@
     assert sizes[-1] == 5
 
 
+@pytest.mark.parametrize(
+    ("sender", "is_fleet_total"), [("10.0.0.2:7", True), ("10.0.0.3:7", False)]
+)
+def test_routers_that_disagree_on_the_size_of_the_fleet_are_miscounted(
+    peers, clock, sender, is_fleet_total
+):
+    """One knows of so many that it takes itself for a collector."""
+    clock.advance(peers_module.MEMBER_TTL_MS)
+    data_centres = {
+        f"10.0.0.{number}:7": data_centre
+        for number, data_centre in enumerate(("dc1", "dc2", "dc2", "dc2"), 2)
+    }
+    for address, data_centre in data_centres.items():
+        peers.receive(
+            make_report(
+                address,
+                data_centre=data_centre,
+                routers=3 if address == sender else 1,
+                is_fleet_total=address == sender and is_fleet_total,
+            )
+        )
+    assert peers.fleet_size() == 5
+    for number in range(6, 11):
+        peers.add(f"10.0.0.{number}:7")
+    assert not peers.hears_most()
+
+
 def test_load_of_peer_without_recent_report_is_ignored(peers, clock):
     """The peer itself counts as live until ``MEMBER_TTL_MS``."""
     peers.receive(make_report("10.0.0.2:7", 1, 5))
@@ -177,6 +205,14 @@
             for address, data_centre in addresses.items():
                 peers.add(address, reports.Member(data_centre, 0))
 
+    def add(self, address, data_centre):
+        """Start a router that knows all others, and whom none knows."""
+        peers = peers_module.Peers(address, data_centre, 0, self.clock)
+        for known, known_data_centre in self.data_centres.items():
+            peers.add(known, reports.Member(known_data_centre, 0))
+        self.data_centres[address] = data_centre
+        self.peers[address] = peers
+
     def step(self):
         """Let an interval pass, and deliver the reports of all routers.
 
@@ -196,6 +232,7 @@
                 data_centre=self.data_centres[address],
                 crashes=self.crashes.get(address, ()),
                 grants_permits=True,
+                members=peers.members(),
             )
             datagrams += [
                 (address, destination, report)
@@ -403,6 +440,10 @@
                     targets=self._targets(96),
                     partial=True,
                     link_mbps=1_000,
+                    members={
+                        f"10.{n}.0.{k}:7": reports.Member(f"dc{n}", 1_000)
+                        for k in range(1, ROUTERS + 1)
+                    },
                 )
             )
         own = make_report(
@@ -589,6 +630,31 @@
     assert fleet.known_loads() == {87}
 
 
+def first_in_order(data_centre, candidates, known):
+    """Return a candidate that comes before the known routers."""
+    key = hashing.hash64(data_centre.encode())
+    return next(a for a in candidates if hashing.winner(key, [a, *known]) == a)
+
+
+@pytest.mark.parametrize("data_centres", [1, 3])
+def test_router_that_starts_as_collector_splits_its_data_centre(
+    clock, data_centres
+):
+    """It knows the others from the store, and they don't know it."""
+    fleet = Fleet(clock, data_centres, 15)
+    for _ in range(4):
+        fleet.step()
+    for number in range(100, 104):
+        known = [a for a, dc in fleet.data_centres.items() if dc == "dc0"]
+        new = first_in_order(
+            "dc0", (f"10.0.{number}.{n}:7" for n in range(250)), known
+        )
+        fleet.add(new, "dc0")
+        for _ in range(FAILOVER_STEPS):
+            fleet.step()
+        assert fleet.known_loads() == {len(fleet.peers)}
+
+
 def test_partitioned_data_centre_knows_its_own_load(clock):
     fleet = Fleet(clock, 3, 30)
     for _ in range(4):
