Soak: split the scenario into modules of one noun each

Code moves only: stories, routers, responses, runs, faults and series have a module each, and the scenario keeps starting the fleet and sending requests. What a seed draws is unchanged. tests/test_soak.py names the new modules; its checks are the same.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,9 @@
 import pytest
 
 from soak import proxy as proxy_module
+from soak import routers
 from soak import scenario
+from soak import stories
 
 # A seed that fails because of a fault of the routers is added here; none has
 # so far.
@@ -23,16 +25,16 @@
 
 
 async def test_failing_service_is_repeated_within_the_budget_as_routers_die():
-    story = scenario.Story("error", signal.SIGKILL, alone=True)
+    story = stories.Story("error", signal.SIGKILL, alone=True)
     checker = await scenario.run_seed(901, 26, routers=5, story=story)
     assert checker.violations == [], checker.trace
     worst = checker.repeats.worst()
     assert worst is not None
-    assert worst.repeats > scenario.RETRY_SLACK
+    assert worst.repeats > routers.RETRY_SLACK
 
 
 async def test_requests_end_where_paths_to_targets_were_cut():
-    story = scenario.Story(cuts=True, alone=True)
+    story = stories.Story(cuts=True, alone=True)
     checker = await scenario.run_seed(903, 24, routers=4, story=story)
     assert checker.violations == [], checker.trace
     assert checker.outcomes["200"] > 20
