Soak: targets that write copies of responses, and change ids and addresses

Parts of a story, drawn after the others: targets write their last refusal or last response on a connection once more, before a later answer there or 20 ms later, with the request's id or without; get new ids at their addresses; and start again at each other's addresses. The checker counts targets by their ids, forgets a back-off at a new start, and counts the copies that were met by their own request and by others; the line of a seed prints both. How targets respond has a module of its own.

--- a/examples/standins/scripted_target.py
+++ b/examples/standins/scripted_target.py
@@ -4,6 +4,7 @@
 from collections import abc
 import contextlib
 import dataclasses
+import re
 import socket
 import struct
 
@@ -51,6 +52,11 @@
     return f"HTTP/1.1 {status}\r\n{lines}\r\n".encode() + body
 
 
+def without_id(response_bytes: bytes) -> bytes:
+    """Return a response without the header that names its request."""
+    return re.sub(rb"X-Request-Id: [^\r]*\r\n", b"", response_bytes, count=1)
+
+
 def stream_head(request: ReceivedRequest) -> bytes:
     """Return the sealed response head of a chunked event stream."""
     return (
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -26,7 +26,11 @@
             f"{name}: {count}"
             for name, count in sorted(checker.outcomes.items())
         )
-        click.echo(f"seed {current}: {counts}")
+        own, others = checker.copies_met[True], checker.copies_met[False]
+        click.echo(
+            f"seed {current}: {counts}; copies met by their own request: "
+            f"{own}, by others: {others}"
+        )
         for line in checker.violations:
             click.echo(f"  BROKEN {line}")
         for line in checker.trace:
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -28,7 +28,7 @@
 class Execution:
     """A request that a target started to process.
 
-    :param target: the target's name.
+    :param target: the id of the target.
     :param started_ms: start time, in ms on the soak's clock.
     """
 
@@ -59,6 +59,8 @@
     :ivar violations: one line for each violated guarantee.
     :ivar outcomes: number of requests by status, or by error if there was
         no response.
+    :ivar copies_met: number of copies that a later request met, by whether
+        that was their own request.
     :ivar trace: the faults of the run and the folder of its logs, if a
         guarantee was violated.
     """
@@ -68,6 +70,7 @@
         self.trace: list[str] = []
         self.outcomes: collections.Counter[str] = collections.Counter()
         self.repeats = repeats
+        self.copies_met: collections.Counter[bool] = collections.Counter()
         self._executions: dict[str, list[Execution]] = collections.defaultdict(
             list
         )
@@ -92,6 +95,12 @@
             now_ms, now_ms + backoff_ms
         )
 
+    def record_new_start(self, target: str) -> None:
+        """Record that a target starts again, and knows nothing of before."""
+        for notices in (self._leaving_notices, self._backoff_notices):
+            for key in [key for key in notices if key[0] == target]:
+                del notices[key]
+
     def record_arrival(
         self, target: str, router: str, now_ms: int, fault_free_ms: int
     ) -> None:
@@ -101,7 +110,7 @@
         violation, and so is each request above ``MAX_IN_TRANSIT`` during a
         back-off.
 
-        :param target: the target's name.
+        :param target: the id of the target.
         :param router: the router that sent it.
         :param now_ms: the time, in ms on the soak's clock.
         :param fault_free_ms: time in ms since the last fault of the router
@@ -153,7 +162,7 @@
         """Record that a target started to process a request.
 
         :param request_id: the request.
-        :param target: the target's name.
+        :param target: the id of the target.
         :param old_key: whether the request carries the key that is revoked.
         :param now_ms: the time, in ms on the soak's clock.
         :param must_know_changes: whether the request's router must know the
@@ -188,7 +197,7 @@
         nothing kept the router from telling this one.
 
         :param request_id: the request.
-        :param target: the target's name.
+        :param target: the id of the target.
         :param now_ms: the time, in ms on the soak's clock.
         :param fault_free_ms: time in ms since the last fault of the router
             or of its path to the target.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,7 @@
 from soak import proxy as proxy_module
 from soak import routers
 from soak import runs
+from soak import targets
 
 FAULT_GAP_S = 0.7
 
@@ -50,7 +51,7 @@
         if leave_s is not None and time.monotonic() > leave_s:
             leave_s = None
             run.record_event("t0 is leaving")
-            await run.write_target_entry("t0", "draining")
+            await targets.write_entry(run, "t0", "draining")
             run.checker.record_entry_leaving("t0", clock.now_ms())
         await asyncio.sleep(run.random.uniform(0.2, 2 * FAULT_GAP_S))
     await asyncio.gather(*tasks)
--- a/soak/responses.py
+++ b/soak/responses.py
@@ -64,7 +64,4 @@
         while True:
             writer.write(scripted_target.chunk(b"."))
             await asyncio.sleep(0.1)
-    if fault == "error":
-        writer.write(scripted_target.response(request, "500 Broken"))
-        return None
     return False
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -1,8 +1,8 @@
-"""State of one run: its targets, what they see, and the configuration."""
+"""State of one run, and its configuration."""
 
-import asyncio
 import collections
 import contextlib
+import itertools
 import pathlib
 import random
 import time
@@ -13,17 +13,13 @@
 from examples.standins import store as store_standin
 from soak import checker as checker_module
 from soak import clock
+from soak import copies
 from soak import proxy as proxy_module
 from soak import repeats
-from soak import responses
 from soak import routers
 from soak import stories
 
-BACKOFF_MS = 1_500
 OLD_KEY, KEY = "key-old", "key-new"
-SILENT_RUN_S = 9.0
-# Share of the runs that fail while the whole service does.
-FAILING_SHARE = 0.95
 
 
 class Run:
@@ -57,7 +53,14 @@
         self.routers = [
             routers.Router(n, folder) for n in range(1, router_count + 1)
         ]
+        self.copies = copies.Copies(
+            random.Random(f"copies {seed}"),
+            self.story.copied_soon,
+            self.checker.copies_met,
+        )
         self.targets: dict[str, scripted_target.ScriptedTarget] = {}
+        self.target_ids: dict[str, str] = {}
+        self.start_numbers = itertools.count(1)
         self.target_proxies: dict[str, proxy_module.Proxy] = {}
         self.router_by_request: dict[str, routers.Router] = {}
         self.target_faults: dict[str, str] = {}
@@ -133,140 +136,6 @@
         self.configuration_version += 1
         await self.store.put("keyed.op", "config", orjson.dumps(value))
 
-    async def add_target(self, name: str) -> None:
-        """Start a target behind a proxy and write its entry."""
-
-        async def respond(
-            request: scripted_target.ReceivedRequest,
-            writer: asyncio.StreamWriter,
-        ) -> bool | None:
-            return await self._respond(name, request, writer)
-
-        target = scripted_target.ScriptedTarget(respond)
-        await target.start()
-        self.stack.push_async_callback(target.stop)
-        self.targets[name] = target
-        proxy = proxy_module.Proxy(target.address)
-        await proxy.start()
-        self.stack.callback(proxy.stop)
-        self.target_proxies[name] = proxy
-        await self.write_target_entry(name, "ready")
-
-    async def write_target_entry(
-        self, name: str, state: str, started_ms: int | None = None
-    ) -> None:
-        """Write a target's entry to the store.
-
-        :param started_ms: when the target started, in ms since the epoch;
-            none if before the run.
-        """
-        entry = {
-            "service": "oven",
-            "address": self.target_proxies[name].address,
-            "zone": "dc1",
-            "slots": 8,
-            "state": state,
-            "born": self.born_ms if started_ms is None else started_ms,
-        }
-        await self.store.put("keyed.servers", name, orjson.dumps(entry))
-
-    async def _respond(
-        self,
-        name: str,
-        request: scripted_target.ReceivedRequest,
-        writer: asyncio.StreamWriter,
-    ) -> bool | None:
-        """Respond as one of the targets, and record what it sees.
-
-        :param name: the target's name.
-        :param request: the request that arrived.
-        :param writer: stream to the router.
-        :return: ``False`` if the connection is to be closed.
-        """
-        self.checker.repeats.record_arrival(request.request_id, clock.now_ms())
-        if request.headers.get("x-expect-instance") != name:
-            writer.write(scripted_target.response(request, "421 Misdirected"))
-            return None
-        router = self.router_by_request[request.request_id]
-        fault_free_ms = self.fault_free_ms(router, name)
-        self.checker.record_arrival(
-            name, router.name, clock.now_ms(), fault_free_ms
-        )
-        fault = self.target_faults.get(name, "")
-        share = 1.0 if fault == "backoff" else 0.4
-        if not fault and self.failure:
-            fault, share = self.failure, FAILING_SHARE
-        if self.random.random() >= share:
-            fault = ""
-        if fault == "backoff":
-            self.checker.record_backoff_notice(
-                name, router.name, clock.now_ms(), BACKOFF_MS
-            )
-            writer.write(
-                scripted_target.response(
-                    request,
-                    "503 Full",
-                    X_Not_Executed="1",
-                    Retry_After=f"{BACKOFF_MS / 1000}",
-                )
-            )
-            return None
-        old_key = request.headers.get("x-own-key") == OLD_KEY
-        self.checker.record_execution(
-            request.request_id,
-            name,
-            old_key,
-            clock.now_ms(),
-            self.must_know_changes(request.request_id),
-        )
-        try:
-            return await self._run(name, router, fault, request, writer)
-        finally:
-            self.checker.record_end(
-                request.request_id,
-                name,
-                clock.now_ms(),
-                self.fault_free_ms(router, name),
-            )
-
-    async def _run(
-        self,
-        name: str,
-        router: routers.Router,
-        fault: str,
-        request: scripted_target.ReceivedRequest,
-        writer: asyncio.StreamWriter,
-    ) -> bool | None:
-        """Run a request at a target.
-
-        :param name: the target's name.
-        :param router: the router that sent it.
-        :param fault: how the run fails; empty if it doesn't.
-        :param writer: stream to the router.
-        :return: ``False`` if the connection is to be closed.
-        """
-        if fault:
-            return await responses.send_faulty_response(fault, request, writer)
-        if "/review/" in request.line:
-            await asyncio.sleep(SILENT_RUN_S)
-        if any(
-            f"/{kind}/" in request.line for kind in ("chat", "plan", "review")
-        ):
-            await responses.send_stream(
-                request, writer, responses.STREAM_EVENTS
-            )
-            writer.write(scripted_target.chunk(b""))
-            return None
-        extra = {}
-        if name == self.leaving_target:
-            self.checker.record_leaving_notice(
-                name, router.name, clock.now_ms()
-            )
-            extra["Server_Leaving"] = "1"
-        body = f"{request.request_id} done".encode()
-        writer.write(scripted_target.response(request, body=body, **extra))
-        return None
-
     def fault_free_ms(self, router: routers.Router, target: str) -> int:
         """Return the time since a fault of a router or its path to a target.
 
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -21,13 +21,13 @@
 from soak import runs
 from soak import series
 from soak import stories
+from soak import targets
 
 HOST = "127.0.0.1"
 CALLERS = 12
 # After a request that failed.
 CALLER_PAUSE_S = 0.12
 HTTP_OK = 200
-TARGETS = 6
 # Requests that come at a steady rate, whatever becomes of those before.
 STEADY_GAP_S = 0.006
 # Share of them whose first event comes late.
@@ -81,8 +81,8 @@
     await site.start()
     port = runner.addresses[0][1]
     await run.publish_configuration((runs.OLD_KEY, runs.KEY))
-    for number in range(TARGETS):
-        await run.add_target(f"t{number}")
+    for number in range(run.story.targets):
+        await targets.add(run, f"t{number}")
     for router in run.routers:
         router.store_proxy = proxy_module.Proxy(f"{HOST}:{port}")
         await router.store_proxy.start()
@@ -117,6 +117,8 @@
             if time.monotonic() >= end_s:
                 break
             kind = "lookup"
+            if run.story.copied and not run.story.failure:
+                kind = "order"
             if run.story.cuts and run.random.random() < SILENT_SHARE:
                 kind = "review"
             group.create_task(_send_one(run, session, kind, f"s-{count}"))
--- a/soak/series.py
+++ b/soak/series.py
@@ -9,6 +9,7 @@
 from soak import proxy as proxy_module
 from soak import routers
 from soak import runs
+from soak import targets
 
 STORY_STARTS_S = routers.RETRY_WINDOW_S
 
@@ -16,23 +17,54 @@
 async def tell_story(run: runs.Run, end_s: float) -> None:
     """Inject the faults of the story, in parallel, until the end of the run.
 
-    They begin after a window of the retry budget, in which requests have
-    earned retries.
+    Changes of ids and addresses begin at once, the others after a window of
+    the retry budget, in which requests have earned retries.
     """
-    await asyncio.sleep(STORY_STARTS_S)
-    run.record_event(f"the service fails: {run.story.failure}")
-    run.failure = run.story.failure
     async with asyncio.TaskGroup() as group:
+        if run.story.new_ids:
+            group.create_task(_give_new_ids(run, group, end_s))
+        if run.story.exchanges:
+            group.create_task(_exchange_in_series(run, end_s))
+        await asyncio.sleep(min(STORY_STARTS_S, end_s - time.monotonic()))
+        run.record_event(f"the service fails: {run.story.failure}")
+        run.failure = run.story.failure
         if run.story.signal_sent is not None:
             group.create_task(_restart_in_series(run, end_s))
         if run.story.cuts:
             group.create_task(_cut_in_series(run, end_s))
         if run.story.crashes:
             group.create_task(_crash_in_series(run, end_s))
-        group.create_task(asyncio.sleep(end_s - time.monotonic()))
+        await asyncio.sleep(end_s - time.monotonic())
     run.failure = ""
 
 
+def _staying_targets(run: runs.Run) -> list[str]:
+    """Return the targets that don't leave, see :mod:`soak.faults`."""
+    return list(run.targets)[2:]
+
+
+async def _give_new_ids(
+    run: runs.Run, group: asyncio.TaskGroup, end_s: float
+) -> None:
+    """Give one target after the other a new id at its address.
+
+    :param group: runs what follows on each change.
+    """
+    while time.monotonic() < end_s:
+        await asyncio.sleep(run.random.uniform(0.25, 0.7))
+        name = run.random.choice(_staying_targets(run))
+        group.create_task(targets.give_new_id(run, name))
+
+
+async def _exchange_in_series(run: runs.Run, end_s: float) -> None:
+    """Let pairs of targets exchange their addresses."""
+    while time.monotonic() < end_s:
+        await asyncio.sleep(run.random.uniform(0.25, 0.7))
+        await targets.exchange_addresses(
+            run, *run.random.sample(_staying_targets(run), 2)
+        )
+
+
 async def _restart_in_series(run: runs.Run, end_s: float) -> None:
     """Send all routers the signal of the story, again and again."""
     while time.monotonic() < end_s:
@@ -83,5 +115,5 @@
             _, _, port = target.address.rpartition(":")
             started_ms = time.time_ns() // 1_000_000
             await target.start(port=int(port))
-            await run.write_target_entry(name, "ready", started_ms)
+            await targets.write_entry(run, name, "ready", started_ms)
             run.record_event(f"{name} is back")
--- a/soak/stories.py
+++ b/soak/stories.py
@@ -16,6 +16,14 @@
     :param cuts: whether paths to targets are cut in series.
     :param crashes: whether targets crash and come back in series.
     :param alone: whether there are no single faults besides.
+    :param copied: what targets write once more: ``refusals``, or
+        ``responses`` of any kind; empty for nothing.
+    :param copied_soon: whether they do so soon after the response, instead of
+        before the next one.
+    :param copied_without_id: whether copies don't name their request.
+    :param new_ids: whether targets get new ids at their addresses in series.
+    :param exchanges: whether targets exchange their addresses in series.
+    :param targets: number of targets, two of which leave.
     """
 
     failure: str = ""
@@ -24,6 +32,12 @@
     cuts: bool = False
     crashes: bool = False
     alone: bool = False
+    copied: str = ""
+    copied_soon: bool = False
+    copied_without_id: bool = False
+    new_ids: bool = False
+    exchanges: bool = False
+    targets: int = 6
 
 
 def draw_story(rng: random.Random) -> Story:
@@ -35,4 +49,10 @@
         rng.random() < 0.5,
         rng.random() < 0.3,
         rng.random() < 0.5,
+        rng.choice(["", "", "refusals", "responses"]),
+        rng.random() < 0.3,
+        rng.random() < 0.2,
+        rng.random() < 0.5,
+        rng.random() < 0.3,
+        rng.choice([4, 6]),
     )
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -105,6 +105,24 @@
     assert len(checker.violations) == 1
 
 
+def test_new_start_is_in_no_backoff_and_another_target_still_is(checker):
+    for target in ("t1", "t2"):
+        checker.record_backoff_notice(target, "r1", 0, 2_000)
+    checker.record_new_start("t1")
+    for target in ("t1", "t2"):
+        for _ in range(checker_module.MAX_IN_TRANSIT + 1):
+            checker.record_arrival(target, "r1", 900, 9_000)
+    assert checker.violations == ["r1 sent a request to t2, which backs off"]
+
+
+def test_second_execution_at_one_target_under_a_new_id_is_found(checker):
+    checker.record_sent("q1", at_most_once=True)
+    checker.record_execution("q1", "t1", old_key=False, now_ms=10)
+    checker.record_new_start("t1")
+    checker.record_execution("q1", "t1-1", old_key=False, now_ms=20)
+    assert checker.violations == ["q1 ran 2 times"]
+
+
 def test_router_with_a_fault_since_the_notice_is_excused(checker):
     checker.record_leaving_notice("t1", "r1", 0)
     checker.record_arrival("t1", "r1", 900, 300)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -40,6 +40,15 @@
     assert checker.outcomes["200"] > 20
 
 
+async def test_copied_refusals_are_not_believed_as_targets_change_ids():
+    story = stories.Story(
+        alone=True, copied="refusals", new_ids=True, exchanges=True, targets=4
+    )
+    checker = await scenario.run_seed(1101, 7, routers=4, story=story)
+    assert checker.violations == [], checker.trace
+    assert checker.copies_met[False] > 20
+
+
 async def test_cut_proxy_loses_a_reset_and_delays_an_end():
     readers = {}
 
