Soak: hold a notice only against the process that was told

The soak reported that a router sends to a target that is leaving, or backs off, where the target had told the process before: a request may be read after its router was killed and started again, and the response was taken for news to the new process.

Requests now remember the start of their router. A notice to a process that is still the one that asked, and each arrival from it, count as before.

test_notice_binds_the_process_that_was_told: its two cases with a restart are red if all responses count, the two without a restart, which must find the breach, are green before and after.

--- a/soak/routers.py
+++ b/soak/routers.py
@@ -53,6 +53,7 @@
     :param number: number from 1 on, which determines its loopback address.
     :param folder: the folder of its settings and log.
 
+    :ivar starts: how often its process was started.
     :ivar restarting: whether it got a signal to end and will be started again.
     :ivar process_faults: faults of its process.
     :ivar store_faults: faults of its path to the store.
@@ -66,12 +67,14 @@
         self._folder = folder
         self._process: asyncio.subprocess.Process | None = None
         self.store_proxy: proxy_module.Proxy | None = None
+        self.starts = 0
         self.restarting = False
         self.process_faults = FaultTracker()
         self.store_faults = FaultTracker()
 
     async def start(self) -> None:
         """Start the process."""
+        self.starts += 1
         settings = self._folder / f"r{self._number}.toml"
         settings.write_text(
             settings_file.text(
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -63,6 +63,7 @@
         self.start_numbers = itertools.count(1)
         self.target_proxies: dict[str, proxy_module.Proxy] = {}
         self.router_by_request: dict[str, routers.Router] = {}
+        self._start_by_request: dict[str, int] = {}
         self.target_faults: dict[str, str] = {}
         self.failure = ""
         self.born_ms = time.time_ns() // 1_000_000
@@ -76,6 +77,20 @@
         self.started_ms = clock.now_ms()
         self.history: list[str] = []
 
+    def record_sent(
+        self, request_id: str, router: routers.Router, at_most_once: bool
+    ) -> None:
+        """Record that a caller sends a request to a router."""
+        self.checker.record_sent(request_id, at_most_once)
+        self.checker.repeats.record_request(clock.now_ms())
+        self.router_by_request[request_id] = router
+        self._start_by_request[request_id] = router.starts
+
+    def reads_response(self, request_id: str) -> bool:
+        """Return whether the process that sent a request may still run."""
+        router = self.router_by_request[request_id]
+        return self._start_by_request[request_id] == router.starts
+
     def must_know_changes(self, request_id: str) -> bool:
         """Return whether a request's router must know a change by now.
 
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -33,7 +33,7 @@
     ) -> bool | None:
         run.copies.begin(writer, request.request_id)
         try:
-            return await _respond(run, name, request, writer)
+            return await respond(run, name, request, writer)
         finally:
             run.copies.end(writer)
 
@@ -90,7 +90,7 @@
         await write_entry(run, place, "ready", time.time_ns() // 1_000_000)
 
 
-async def _respond(
+async def respond(
     run: runs.Run,
     name: str,
     request: scripted_target.ReceivedRequest,
@@ -109,10 +109,13 @@
         _refuse(run, request, writer, "421 Misdirected")
         return None
     router = run.router_by_request[request.request_id]
-    fault_free_ms = run.fault_free_ms(router, name)
-    run.checker.record_arrival(
-        target_id, router.name, clock.now_ms(), fault_free_ms
-    )
+    # A process that was killed may have sent it, and reads no notice.
+    is_read = run.reads_response(request.request_id)
+    if is_read:
+        fault_free_ms = run.fault_free_ms(router, name)
+        run.checker.record_arrival(
+            target_id, router.name, clock.now_ms(), fault_free_ms
+        )
     fault = run.target_faults.get(name, "")
     share = 1.0 if fault == "backoff" else 0.4
     if not fault and run.failure:
@@ -120,9 +123,10 @@
     if run.random.random() >= share:
         fault = ""
     if fault == "backoff":
-        run.checker.record_backoff_notice(
-            target_id, router.name, clock.now_ms(), BACKOFF_MS
-        )
+        if is_read:
+            run.checker.record_backoff_notice(
+                target_id, router.name, clock.now_ms(), BACKOFF_MS
+            )
         _refuse(
             run,
             request,
@@ -217,7 +221,10 @@
         return None
     extra = {}
     if name == run.leaving_target:
-        run.checker.record_leaving_notice(name, router.name, clock.now_ms())
+        if run.reads_response(request.request_id):
+            run.checker.record_leaving_notice(
+                name, router.name, clock.now_ms()
+            )
         extra["Server_Leaving"] = "1"
     body = f"{request.request_id} done".encode()
     response = scripted_target.response(request, body=body, **extra)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,13 +4,18 @@
 import signal
 import socket
 import struct
+from unittest import mock
 
 import pytest
 
+from examples.standins import scripted_target
+from soak import checker as checker_module
 from soak import proxy as proxy_module
 from soak import routers
+from soak import runs
 from soak import scenario
 from soak import stories
+from soak import targets
 
 # A seed that fails because of a fault of the routers is added here; none has
 # so far.
@@ -49,6 +54,54 @@
     assert checker.copies_met[False] > 20
 
 
+@pytest.fixture
+def open_run(tmp_path):
+    """Return a function that returns a run without any process."""
+
+    def open_one(story):
+        run = runs.Run(1, 1, tmp_path, story)
+        run.target_ids["t1"] = "t1"
+        run.leaving_target = "t1"
+        return run
+
+    return open_one
+
+
+async def serve(run, request_id):
+    """Let target t1 serve a request as if it had just arrived."""
+    request = scripted_target.ReceivedRequest(
+        "POST /lookup/x HTTP/1.1",
+        {"x-request-id": request_id, "x-expect-instance": "t1"},
+        b"",
+    )
+    writer = mock.Mock()
+    run.copies.begin(writer, request_id)
+    await targets.respond(run, "t1", request, writer)
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+@pytest.mark.parametrize("backs_off", [False, True])
+async def test_notice_binds_the_process_that_was_told(
+    open_run, restarts, backs_off
+):
+    """A target may respond to a killed process after the next one started."""
+    run = open_run(stories.Story())
+    (router,) = run.routers
+    router.starts = 1
+    if backs_off:
+        run.target_faults["t1"] = "backoff"
+    run.record_sent("q1", router, at_most_once=False)
+    router.starts += restarts
+    await serve(run, "q1")
+    await asyncio.sleep(checker_module.MAX_REACTION_MS / 1000 + 0.1)
+    for number in range(checker_module.MAX_IN_TRANSIT + 1):
+        run.record_sent(f"q2-{number}", router, at_most_once=False)
+        if backs_off:
+            run.target_faults.clear()
+        await serve(run, f"q2-{number}")
+    assert bool(run.checker.violations) is not restarts
+
+
 async def test_cut_proxy_loses_a_reset_and_delays_an_end():
     readers = {}
 
