--- a/src/bulrushdale/forwarding/sessions.py
+++ b/src/bulrushdale/forwarding/sessions.py
@@ -61,8 +61,9 @@
 
     # It carried the request before, or nothing tells their responses apart.
     AMBIGUOUS = "ambiguous"
-    # It carries no request any more.
+    # It has carried as many requests as are remembered.
     FULL = "full"
+    # Bytes have arrived on it that belong to no request.
     UNASKED = "unasked"
 
 
