--- a/tests/test_service_requests.py
+++ b/tests/test_service_requests.py
@@ -195,14 +195,8 @@
         return False
 
 
-@pytest.mark.parametrize("target_ends", [False, True])
-@pytest.mark.parametrize("method", ["POST", "PUT", "DELETE"])
-async def test_request_that_may_have_run_is_not_sent_again(
-    target, method, target_ends
-):
-    """The HTTP client sent it twice, or reported it as not sent."""
-    target.script = RunsAndResets(target if target_ends else None)
-    request = service_requests.ServiceRequest(
+def make_order(method):
+    return service_requests.ServiceRequest(
         "till",
         types.SimpleNamespace(call_timeout_ms=2_000),
         method,
@@ -210,6 +204,15 @@
         {"X-Request-Id": "q1"},
         b"order",
     )
+
+
+@pytest.mark.parametrize("target_ends", [False, True])
+@pytest.mark.parametrize("method", ["POST", "PUT", "DELETE"])
+async def test_request_that_may_have_run_is_not_sent_again(
+    target, method, target_ends
+):
+    """The HTTP client sent it twice, or reported it as not sent."""
+    target.script = RunsAndResets(target if target_ends else None)
     error = None
     async with daemon.open_session(keep_alive=False) as session:
         try:
@@ -217,7 +220,7 @@
                 make_context(target),
                 session,
                 types.SimpleNamespace(target="t1"),
-                request,
+                make_order(method),
             )
         except (
             service_requests.NotSentError,
@@ -260,14 +263,6 @@
         request_id="q1",
         timeline=types.SimpleNamespace(step=lambda *_: None),
     )
-    request = service_requests.ServiceRequest(
-        "till",
-        types.SimpleNamespace(call_timeout_ms=2_000),
-        method,
-        "/orders",
-        {"X-Request-Id": "q1"},
-        b"order",
-    )
     error = None
     async with daemon.open_session(keep_alive=False) as session:
         context.at_most_once_session = session
@@ -276,7 +271,7 @@
                 context,
                 caller,
                 None,
-                request,
+                make_order(method),
                 None,
                 types.SimpleNamespace(target="t1"),
             )
