Take no status that an earlier refusal's beginning gave to an answer

What callers saw: 503 "not run" for an order that ran (no other target), or an order that ran twice (with one).

Cause: a target writes the beginning of an earlier refusal while the next request on the connection is under way, then the answer. The parser reads both as one head: the status is the refusal's (421 alone says "not run"), the request id and the seal are the answer's, so the id vouches for the wrong status. The rule that a connection carries no request twice doesn't help, as the id is that of the current request. In the composition with a catalogue a chat that may have run was reported as not run.

A head on a connection that was in use before, with a status line within its reason or a value, is taken for a lost connection: the outcome is unknown. A beginning that ends elsewhere (within the status, after a line) is no valid head.

--- a/src/bulrushdale/forwarding/sessions.py
+++ b/src/bulrushdale/forwarding/sessions.py
@@ -7,6 +7,7 @@
 import enum
 import functools
 import logging
+import re
 import socket
 import typing
 
@@ -31,6 +32,8 @@
 MAX_STRAY_BYTES = 1 << 20
 # So are this many for one request. Usual targets send one late response.
 MAX_STRAY_RESPONSES = 8
+# The head of a response begins within another one that was cut off.
+_STATUS_LINE = re.compile(r"HTTP/1\.[01] \d{3}")
 # Routes with long prompts list all prompt parts in one header field.
 MAX_FIELD_BYTES = 65_536
 
@@ -153,14 +156,20 @@
         """Return the next response with the expected request id or without.
 
         A target may send a second response to an earlier request, which then
-        arrives in place of the expected response.
+        arrives in place of the expected response. If it sends only the
+        beginning of one, the head of the expected response continues it.
 
-        :raises ClientPayloadError: if there are too many others; the
-            connection is closed.
+        :raises ClientPayloadError: if there are too many others, or the
+            beginning of one; the connection is closed.
         """
         self.awaiting_head = True
         for _ in range(1 + MAX_STRAY_RESPONSES):
             message, payload = await super().read()
+            if self.carried.count > 1 and _is_mixed(message):
+                self.close()
+                raise aiohttp.ClientPayloadError(
+                    "a response begins within the head of another one"
+                )
             response_id = message.headers.get(self._id_header)
             if response_id is None or self.expected_id in (None, response_id):
                 self.awaiting_head = False
@@ -284,6 +293,16 @@
     return bytes(body)
 
 
+def _is_mixed(message: typing.Any) -> bool:
+    """Return whether a head consists of parts of two heads.
+
+    The status is that of the first one, which was cut off. The request id may
+    be that of the second one.
+    """
+    texts = [message.reason or "", *message.headers.values()]
+    return any(_STATUS_LINE.search(text) for text in texts)
+
+
 def _is_informational(status: int) -> bool:
     return 100 <= status < 200
 
--- a/tests/test_copied_refusals.py
+++ b/tests/test_copied_refusals.py
@@ -173,6 +173,65 @@
     assert script.ran["q1"] == 1
 
 
+class CuttingTarget(CopyingTarget):
+    """Script that writes the beginning of a copy before the next answer.
+
+    :param target_id: its id; it refuses requests for another one.
+    :param cut_after: the copy ends with this text.
+    """
+
+    def __init__(self, target_id, cut_after):
+        super().__init__(target_id)
+        self._cut_after = cut_after
+
+    async def __call__(self, request, writer):
+        writer.write(self._refusals.pop(writer, b""))
+        if request.headers.get("x-expect-instance") == self._target_id:
+            self.ran[request.request_id] += 1
+            await gateway_fixtures.respond(request, writer)
+            return
+        refusal = (
+            "HTTP/1.1 421 Misdirected\r\nDate: Sun, 06 Dec 2026 10:00:00 GMT"
+            f"\r\nX-Request-Id: {request.request_id}"
+            "\r\nContent-Length: 0\r\n\r\n"
+        )
+        writer.write(refusal.encode())
+        beginning, _, _ = refusal.partition(self._cut_after)
+        self._refusals[writer] = (beginning + self._cut_after).encode()
+
+
+@pytest.mark.parametrize(
+    "cut_after", ["421", "421 ", "421 Mis", "Date: Sun", "GMT\r\n", "Id: q"]
+)
+@pytest.mark.parametrize("others", [0, 1])
+async def test_beginning_of_a_copy_refuses_no_other_order(
+    fleet, others, cut_after
+):
+    """Orders ran after 503, or twice, as the status was an earlier one's."""
+    script = CuttingTarget(NEW_ID, cut_after)
+    earlier_ids = [f"t{number}" for number in range(EARLIER_IDS)]
+    await add_target(fleet, [NEW_ID, *earlier_ids], script)
+    scripts = [script]
+    for number in range(others):
+        scripts.append(CopyingTarget(f"other{number}"))
+        await add_target(fleet, [f"other{number}"], scripts[-1])
+    router = await fleet.add_process()
+    await wait_for_targets(router, 1 + EARLIER_IDS + others)
+    statuses = {}
+    async with aiohttp.ClientSession() as caller:
+        for number in range(2 * ORDERS):
+            request_id = f"q{number}"
+            statuses[request_id] = await send(caller, router, request_id)
+    ran = sum((script.ran for script in scripts), collections.Counter())
+    refused_and_ran = [
+        request_id
+        for request_id, status in statuses.items()
+        if status in NOT_RUN_STATUSES and ran[request_id]
+    ]
+    assert not refused_and_ran
+    assert max(ran.values()) == 1
+
+
 @pytest.mark.parametrize("path", ["/order/x", "/lookup/x", "/plan/x"])
 async def test_honestly_refused_request_still_reaches_another_target(
     fleet, path
--- a/tests/test_engine_errors.py
+++ b/tests/test_engine_errors.py
@@ -150,6 +150,32 @@
     assert answer.first == [b"a", b"b"]
 
 
+async def test_beginning_of_a_copied_refusal_does_not_refuse_a_chat():
+    """A caller was told that a chat had not run, which may have run."""
+    beginning = b"HTTP/1.1 429 Bu"
+
+    async def script(request, writer):
+        if request.request_id == "q1":
+            writer.write(scripted_target.response(request, "429 Busy"))
+        else:
+            writer.write(beginning + scripted_target.response(request))
+
+    async with running_target(script, daemon.TARGET_ID_HEADER) as (
+        target,
+        session,
+    ):
+        for request_id, may_have_run in (("q1", False), ("q2", True)):
+            stream = engine_stream.EngineStream(
+                session,
+                f"http://{target.address}",
+                request_id,
+                clock_module.Clock(),
+            )
+            with pytest.raises(engine_stream.NotStartedError) as raised:
+                await stream.start(b"{}", {})
+            assert raised.value.may_have_run is may_have_run
+
+
 async def start_chat(target, session):
     """Start a chat on the only engine; return the error that ends it."""
     with pytest.raises(results.RefusedError) as raised:
