Tell of streams whose version doesn't follow at once

Callers whose streams broke off as six of seven routers lost power within a release got 503 (3014) at the router that was left, for streams that had begun within 250 ms before the loss.

Cause: the others learn of a stream whose version doesn't follow from its id by the next load report, up to 250 ms later, and a lost router sends none. The router that was left can't tell such a stream from one that began before the release.

Now a report that holds nothing else, marked as partial so that loads stay as they were, goes out as such a stream begins, and then at most each 50 ms while more do. Routers of earlier versions read it. Not in a fleet with collectors, which pass reports on at their own pace.

It only adds knowledge: what isn't told is as uncertain as before, so no stream is joined that was refused before for that.

--- a/src/bulrushdale/gateway.py
+++ b/src/bulrushdale/gateway.py
@@ -68,6 +68,8 @@
 # would take one read per heartbeat.
 TARGETS_INTERVAL_MS = 600
 EXPIRE_INTERVAL_MS = 250
+# Between two reports that only tell of streams.
+TELL_INTERVAL_MS = 50
 # Routers that started together have reported to each other by this time.
 ALONE_AFTER_MS = 500
 # The store lists the other routers within about 20 ms; they provide a first
@@ -477,6 +479,7 @@
             self._run_every(
                 peers_module.REPORT_INTERVAL_MS, self._send_report
             ),
+            self._run_every(0, self._tell_streams),
             self._run_every(EXPIRE_INTERVAL_MS, self._expire_targets),
             self._prober.recheck_unreachable(),
             self._load_exporter(),
@@ -554,33 +557,57 @@
                 LOG.exception("background task failed")
             await self._clock.sleep_ms(interval_ms)
 
+    def _report(self) -> reports.Report:
+        """Return a report of this router without any load or news."""
+        self._sequence += 1
+        return reports.Report(
+            address=self._address,
+            data_centre=self.settings.data_centre,
+            started_ms=self._started_ms,
+            sequence=self._sequence,
+            routers=1,
+            is_fleet_total=False,
+            store_up_ms=self._replicas["targets"].store_up_ms(),
+            targets={},
+            members=self._peers.members(),
+            prefix_locations={},
+            link_mbps=self.settings.link_mbps,
+            partial=True,
+            grants_permits=True,
+            grants_slots=True,
+        )
+
     async def _send_report(self) -> None:
         """Send this router's load report to the other routers."""
-        self._sequence += 1
         self._peer_transport.send_reports(
-            reports.Report(
-                address=self._address,
-                data_centre=self.settings.data_centre,
-                started_ms=self._started_ms,
-                sequence=self._sequence,
-                routers=1,
-                is_fleet_total=False,
-                store_up_ms=self._replicas["targets"].store_up_ms(),
+            dataclasses.replace(
+                self._report(),
                 targets=self._targets.reports(),
-                members=self._peers.members(),
+                partial=False,
                 prefix_locations=self._prefix_locations.take_updates(),
-                link_mbps=self.settings.link_mbps,
                 leaving=self._targets.leaving_to_report(),
                 crashes=self._quarantine.crashes_to_report(),
                 cleared=self._crash_evidence.recently_cleared(),
-                grants_permits=True,
-                grants_slots=True,
                 limits=self._targets.take_limits_to_report(),
                 streams=self._stream_versions.to_report(),
                 blocked=self._quarantine.blocks_to_report(),
             )
         )
 
+    async def _tell_streams(self) -> None:
+        """Tell the other routers at once of streams that have begun here.
+
+        Nobody else knows their versions if this router is lost before its
+        next report. A large fleet's collectors pass reports on later anyway.
+        """
+        await self._stream_versions.recorded.wait()
+        streams = self._stream_versions.to_tell()
+        if streams and self._peers.full_mesh:
+            self._peer_transport.send_reports(
+                dataclasses.replace(self._report(), streams=streams)
+            )
+        await self._clock.sleep_ms(TELL_INTERVAL_MS)
+
     async def _expire_targets(self) -> None:
         self._targets.expire(self._peers.store_up_ms())
         self._permits.expire()
--- a/src/bulrushdale/routing/versions.py
+++ b/src/bulrushdale/routing/versions.py
@@ -12,6 +12,7 @@
 for what they told before.
 """
 
+import asyncio
 import collections
 from collections import abc
 import dataclasses
@@ -243,11 +244,14 @@
     """Versions of streams that don't follow from the streams' ids.
 
     :param clock: the clock.
+
+    :ivar recorded: set when a stream begins here.
     """
 
-    __slots__ = ("_clock", "_streams", "_unreported")
+    __slots__ = ("recorded", "_clock", "_streams", "_unreported", "_untold")
 
     def __init__(self, clock: clock_module.Clock) -> None:
+        self.recorded = asyncio.Event()
         self._clock = clock
         # Version, and when it was learned in ms of the clock, by hash of the
         # stream's id; the earliest known first.
@@ -258,6 +262,8 @@
         self._unreported: collections.OrderedDict[int, int] = (
             collections.OrderedDict()
         )
+        # Streams that began here and were in no report yet.
+        self._untold: set[int] = set()
 
     def get(self, stream_id: str) -> str | None:
         """Return the version that began a stream; none if not known."""
@@ -269,6 +275,8 @@
         stream_hash = hashing.name_hash(stream_id)
         self.merge({stream_hash: version})
         self._unreported[stream_hash] = self._clock.now_ms()
+        self._untold.add(stream_hash)
+        self.recorded.set()
 
     def merge(self, streams: abc.Mapping[int, str]) -> None:
         """Record streams that began at other routers.
@@ -322,6 +330,15 @@
                 break
             self._streams.popitem(last=False)
 
+    def to_tell(self) -> dict[int, str]:
+        """Return the streams to report that were in no report yet."""
+        untold = self._untold
+        return {
+            stream_hash: version
+            for stream_hash, version in self.to_report().items()
+            if stream_hash in untold
+        }
+
     def to_report(self) -> dict[int, str]:
         """Return the streams to report now, the latest ones."""
         oldest_ms = self._clock.now_ms() - REPORTED_FOR_MS
@@ -331,6 +348,8 @@
                 break
             del self._unreported[stream_hash]
         recent = list(self._unreported)[-MAX_REPORTED_STREAMS:]
+        self._untold = set()
+        self.recorded.clear()
         return {
             stream_hash: self._streams[stream_hash][0]
             for stream_hash in recent
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -258,6 +258,34 @@
         assert len(versions_in(data + rest)) == 1
 
 
+async def test_stream_that_begins_before_its_router_is_lost_is_known(
+    fleet, monkeypatch
+):
+    # Reports are sent each 250 ms, and a lost router sends no other one.
+    first = fleet.deployment.routers[0]
+    send_reports = peer_transport.PeerTransport.send_reports
+    reported = asyncio.Event()
+
+    def send(transport, own):
+        send_reports(transport, own)
+        if transport is first._peer_transport and not own.partial:
+            reported.set()
+
+    monkeypatch.setattr(peer_transport.PeerTransport, "send_reports", send)
+    fleet.break_off(2)
+    await reported.wait()
+    begun = await asyncio.gather(*(fleet.ask(f"q{n}") for n in range(12)))
+    await asyncio.sleep(0.05)
+    first._peer_transport._transport.abort()
+    fleet.set_healthy()
+    for number, (_, data, _) in enumerate(begun):
+        status, rest, whole = await fleet.take_up(
+            f"q{number}b", f"q{number}", data, router=1
+        )
+        assert (status, whole) == (200, True)
+        assert len(versions_in(data + rest)) == 1
+
+
 async def test_stream_of_a_version_without_targets_is_refused_at_once(fleet):
     await asyncio.sleep(SETTLED_AFTER_S)
     fleet.break_off(2)
