Ask a silent target twice at most while this router is busy

What callers saw: 503 (3010, "the deadline has passed") only at their deadline, 2.57 s here, as the only target does not answer and the router is busy; a router that isn't busy refuses after 0.2 s.

Cause: a connection that times out at a busy router is inconclusive, so its target may be tried again. Such tries count neither as attempts nor against the targets that were tried, and the check that would end this is repeated for as long as it is inconclusive itself. A loop whose passes take 10 ms each is enough for both; so they went round until the deadline.

Each target now gets one further try. One stop of the router still refuses nothing (test_target_is_not_unreachable_because_the_router_was_busy).

--- a/src/bulrushdale/forwarding/proxy.py
+++ b/src/bulrushdale/forwarding/proxy.py
@@ -68,6 +68,7 @@
         "_service",
         "_tried",
         "_not_connected",
+        "_inconclusive",
         "_relaying",
         "_at_risk",
         "_has_slot",
@@ -110,6 +111,8 @@
         self._tried: set[str] = set()
         # Those of them that this router couldn't connect to.
         self._not_connected: set[str] = set()
+        # Targets that it was too busy to connect to; each gets a second try.
+        self._inconclusive: set[str] = set()
         # Whether the next attempt goes through another router, and the ids of
         # the targets that such attempts went to.
         self._relaying = False
@@ -569,9 +572,13 @@
         self._request_log.count_attempt(
             "rejected" if outcome.sent else "unreachable"
         )
-        if outcome.inconclusive:
+        first_inconclusive = (
+            outcome.inconclusive and target.target_id not in self._inconclusive
+        )
+        if first_inconclusive:
             # Suspected below, so that others are tried first.
             self._tried.discard(target.target_id)
+            self._inconclusive.add(target.target_id)
         elif not outcome.sent and not self._relaying:
             self._not_connected.add(target.target_id)
         if outcome.sent:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -13,6 +13,7 @@
 
 from bulrushdale.forwarding import connections
 from bulrushdale.forwarding import drain
+from bulrushdale.forwarding import lag
 from bulrushdale.forwarding import ports as port_module
 from bulrushdale.routing import refusals
 from examples import ports
@@ -267,6 +268,31 @@
     assert len(received_requests(deployment, path)) == 1
 
 
+async def test_busy_router_refuses_before_the_deadline(
+    deployment, caller, monkeypatch
+):
+    """It asked a target that doesn't answer until the deadline."""
+    await deployment.targets[0].stop()
+    loop = asyncio.get_running_loop()
+    port = int(deployment.targets[1].address.rpartition(":")[2])
+    connect = loop.sock_connect
+
+    async def connect_or_hang(sock, address):
+        if address[1] == port:
+            await asyncio.sleep(30)
+        return await connect(sock, address)
+
+    monkeypatch.setattr(loop, "sock_connect", connect_or_hang)
+    monkeypatch.setattr(lag.LagWatch, "lagged", lambda _: True)
+    async with caller.post(
+        deployment.url("/order/x"), headers=headers()
+    ) as response:
+        assert response.status == 503
+        assert (await response.json())["error"]["code"] == 3004
+    # Checks are repeated until one is conclusive.
+    monkeypatch.undo()
+
+
 async def cut_within_event(request, writer):
     writer.write(scripted_target.stream_head(request))
     writer.write(scripted_target.chunk(scripted_target.event(0)))
