Let a relay that stood still connect once more instead of calling itself busy

What callers saw: a relay that stood still for the time to connect answered BUSY since, and UNREACHABLE before. BUSY leaves it out for all targets of the service for 1 s, so one busy relay in front of one dark target took the service from a router that is cut off in a fleet of two; and a router that asks whether a target was killed takes BUSY for "no", so that a relayed answer without a length could pass as whole.

Cause: a stop of the relay's own process was made an answer about the relay. Now it connects once more, which takes a round trip if the target is there, and says UNREACHABLE otherwise, as it did. The router that asks waits 300 ms, so one that stood still for longer counts as before as one that doesn't answer.

--- a/src/bulrushdale/forwarding/tunnel_server.py
+++ b/src/bulrushdale/forwarding/tunnel_server.py
@@ -26,6 +26,9 @@
 # buffers of BUFFER_BYTES and what the kernel buffers.
 MAX_TUNNELS = 128
 BUFFER_BYTES = 32 << 10
+# Tries to connect to a target, if this router is too busy to see the first
+# one succeed.
+MAX_CONNECTS = 2
 # Time for the line that names the target.
 ASK_TIMEOUT_MS = 1_000
 
@@ -112,7 +115,9 @@
             target, answer = await self._receive(reader, writer)
             upstream = None
             if target is not None and answer is relays.Answer.ACCEPTED:
-                answer, upstream = await self._connect(target)
+                upstream = await self._connect(target)
+                if upstream is None:
+                    answer = relays.Answer.UNREACHABLE
             writer.write(answer.value)
             LOG.info(
                 "asked to relay a request",
@@ -186,37 +191,33 @@
             return relays.Answer.UNREACHABLE
         return relays.Answer.ACCEPTED
 
-    async def _connect(
-        self, target: targets_module.Target
-    ) -> tuple[relays.Answer, _Streams | None]:
-        """Connect to a target.
-
-        :return: the answer, and the connection if the target accepts it.
-        """
-        sock = connections.make_socket()
+    async def _connect(self, target: targets_module.Target) -> _Streams | None:
+        """Connect to a target; return none if that fails."""
         host, _, port = target.address.rpartition(":")
         loop = asyncio.get_running_loop()
-        watch = lag.LagWatch(connections.CONNECT_TIMEOUT_MS)
-        answer = relays.Answer.UNREACHABLE
-        try:
-            with watch:
-                async with asyncio.timeout(
-                    connections.CONNECT_TIMEOUT_MS / 1000
-                ):
-                    await loop.sock_connect(sock, (host, int(port)))
-        except TimeoutError:
-            self._prober.check(target, suspected=True)
-            if watch.lagged():
-                answer = relays.Answer.BUSY
-        except OSError:
-            self._prober.record_unreachable(target)
-        else:
-            streams = await asyncio.open_connection(
-                sock=sock, limit=BUFFER_BYTES
-            )
-            return relays.Answer.ACCEPTED, streams
-        sock.close()
-        return answer, None
+        for _ in range(MAX_CONNECTS):
+            sock = connections.make_socket()
+            watch = lag.LagWatch(connections.CONNECT_TIMEOUT_MS)
+            try:
+                with watch:
+                    async with asyncio.timeout(
+                        connections.CONNECT_TIMEOUT_MS / 1000
+                    ):
+                        await loop.sock_connect(sock, (host, int(port)))
+            except TimeoutError:
+                sock.close()
+                self._prober.check(target, suspected=True)
+                if not watch.lagged():
+                    break
+            except OSError:
+                sock.close()
+                self._prober.record_unreachable(target)
+                break
+            else:
+                return await asyncio.open_connection(
+                    sock=sock, limit=BUFFER_BYTES
+                )
+        return None
 
 
 async def _join(downstream: _Streams, upstream: _Streams) -> bool:
