Keep the bound without the routers that stand still, too

Cause: until its link closes after 3.5 s, a router that stands still keeps its slots, and they count for the mean, though its answers may have ended. The others then start above the bound.

Now a router is silent after eight of its mean times between frames (at least 150 ms), and for 100 ms after its next frame. While one is, a grant must keep the bound of all slots, as before, and also that of the routers that are heard, in which slots of silent and lost routers count neither in the load nor in the mean. So no grant is allowed that wasn't before, and the others share the engines as if the silent routers weren't there. The threshold follows the frames, so that a router which sends only heartbeats isn't silent between two of them.

Tests: test_slots_of_silent_router_do_not_raise_bound and test_ended_answers_of_frozen_router_... fail with the rule off (8 for 3; 6 for 5). Counting silent slots for the target alone fails test_silent_router_... (0 granted of 24, 0 of 5). Counting lost routers' slots in the second bound fails test_silent_and_lost_routers_...

--- a/src/bulrushdale/admission/scheduler.py
+++ b/src/bulrushdale/admission/scheduler.py
@@ -48,6 +48,7 @@
     :param clock: the clock.
     :param rng: adds jitter to retry times.
     :param choose: picks a target among those below their bound.
+    :param silent: returns the attached routers that may stand still.
 
     .. versionadded:: 0.1
     """
@@ -62,6 +63,7 @@
         "_clock",
         "_rng",
         "_choose",
+        "_silent",
         "_slot_table",
         "_queue",
         "_chat_targets",
@@ -79,6 +81,7 @@
         clock: clock_module.Clock,
         rng: random.Random,
         choose: Choose = choice.choose_by_affinity,
+        silent: typing.Callable[[], abc.Set[str]] = frozenset,
     ) -> None:
         self._usable = usable
         self._promise = promise
@@ -89,6 +92,7 @@
         self._clock = clock
         self._rng = rng
         self._choose = choose
+        self._silent = silent
         self._slot_table = slot_table_module.SlotTable(clock)
         self._queue = queue.WeightedQueue()
         self._chat_targets: collections.OrderedDict[int, str] = (
@@ -224,9 +228,39 @@
             for target in targets
             if self._slot_table.max_load_known(target.name, quorum)
         }
+        silent = self._silent()
+        if silent:
+            heard_bounds = self._heard_bounds(targets, silent)
+            for name, limit in bounds.items():
+                unheard = loads[name] - self._slot_table.heard_load(
+                    name, silent
+                )
+                bounds[name] = min(limit, heard_bounds[name] + unheard)
         free = [name for name, limit in bounds.items() if loads[name] < limit]
         return capacity_module.Capacity(loads, bounds, free)
 
+    def _heard_bounds(
+        self, targets: Targets, silent: abc.Set[str]
+    ) -> dict[str, int]:
+        """Return the bounds of the load of the routers that are heard.
+
+        The answers of the others may have ended. Their load counts neither
+        for its target nor for the mean: if it counted for the target alone,
+        the routers that are heard would have to give way to answers that
+        ended.
+
+        :param targets: the targets that share the load.
+        :param silent: the attached routers that may stand still.
+        """
+        total = 1 + sum(
+            self._slot_table.heard_min_load(target.name, silent)
+            for target in targets
+        )
+        return {
+            target.name: self._bound(target, total, len(targets))
+            for target in targets
+        }
+
     def _choose_placement(
         self,
         request: queue.QueuedRequest,
--- a/src/bulrushdale/admission/schedulers.py
+++ b/src/bulrushdale/admission/schedulers.py
@@ -88,6 +88,7 @@
             ),
             clock=self._scope.clock,
             rng=self._rng,
+            silent=lambda: self._silent_routers(key),
         )
 
     def _team_limits(self, name: str, pool: str) -> tuple[int, int]:
@@ -167,6 +168,15 @@
             return False
         return self._scope.clock.now_ms() - link.echo_ms < self._scope.lease_ms
 
+    def _silent_routers(self, key: session_module.ShardKey) -> set[str]:
+        """Return the routers attached to a shard that may stand still."""
+        now_ms = self._scope.clock.now_ms()
+        return {
+            link.peer.name
+            for link in self._scope.links.all()
+            if link.peer.name in self._attached[key] and link.is_silent(now_ms)
+        }
+
     def _send_reply(
         self,
         key: session_module.ShardKey,
--- a/src/bulrushdale/admission/slot_table.py
+++ b/src/bulrushdale/admission/slot_table.py
@@ -3,6 +3,7 @@
 import collections
 from collections import abc
 import dataclasses
+import typing
 
 from bulrushdale.admission import bound
 from bulrushdale import clock as clock_module
@@ -15,6 +16,7 @@
 MIN_GRANT_AGE_MS = 40
 
 SlotKey = tuple[str, int]
+CounterKey = typing.TypeVar("CounterKey")
 
 
 @dataclasses.dataclass(slots=True)
@@ -91,6 +93,8 @@
         "_granted_load",
         "_tokens",
         "_team_counts",
+        "_router_loads",
+        "_router_pending",
         "_pending_counts",
         "_pending_starts",
         "_recent_grants",
@@ -110,6 +114,13 @@
         self._granted_load: collections.Counter[str] = collections.Counter()
         self._tokens: collections.Counter[str] = collections.Counter()
         self._team_counts: collections.Counter[str] = collections.Counter()
+        # Both by router and target.
+        self._router_loads: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._router_pending: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self._pending_counts: collections.Counter[str] = collections.Counter()
         self._pending_starts: dict[SlotKey, PendingStart] = {}
         self._recent_grants: collections.deque[tuple[SlotKey, int]] = (
@@ -173,6 +184,26 @@
         external = self._min_external.get(target, 0) if quorum.complete else 0
         return max(0, started) + external
 
+    def heard_load(self, target: str, silent: abc.Set[str]) -> int:
+        """Return the granted load of a target without unheard routers.
+
+        :param target: the target.
+        :param silent: the attached routers that may stand still; those that
+            are lost don't count anyway.
+        """
+        return (
+            self._granted_load[target]
+            - self._orphan_counts[target]
+            - sum(self._router_loads[router, target] for router in silent)
+        )
+
+    def heard_min_load(self, target: str, silent: abc.Set[str]) -> int:
+        """Return the lower limit of :meth:`heard_load`."""
+        pending = self._pending_counts[target] - sum(
+            self._router_pending[router, target] for router in silent
+        )
+        return max(0, self.heard_load(target, silent) - pending)
+
     def max_load_known(self, target: str, quorum: bound.QuorumState) -> bool:
         """Return whether the upper limit of a target's load is known."""
         return quorum.complete or target in self._max_external
@@ -192,6 +223,7 @@
         self.add(key, slot)
         if key not in self._pending_starts:
             self._pending_counts[slot.target] += 1
+            self._router_pending[key[0], slot.target] += 1
             self._pending_starts[key] = PendingStart(slot.target)
             self._recent_grants.append((key, slot.granted_ms))
 
@@ -201,6 +233,7 @@
             return
         self._slots[key] = slot
         self._granted_load[slot.target] += 1
+        self._router_loads[key[0], slot.target] += 1
         self._tokens[slot.target] += slot.tokens
         self._team_counts[slot.team] += 1
         self._record_granted_load(slot.target)
@@ -211,12 +244,11 @@
         if slot is None:
             return None
         _decrease(self._granted_load, slot.target, 1)
+        _decrease(self._router_loads, (key[0], slot.target), 1)
         _decrease(self._tokens, slot.target, slot.tokens)
         _decrease(self._team_counts, slot.team, 1)
         self._record_granted_load(slot.target)
-        pending = self._pending_starts.pop(key, None)
-        if pending is not None:
-            _decrease(self._pending_counts, pending.target, 1)
+        self._end_pending(key)
         return slot
 
     def mark_started(self, key: SlotKey) -> None:
@@ -242,8 +274,14 @@
     def _count_started(self, key: SlotKey, pending: PendingStart) -> None:
         """Count a slot for the mean load if it is started and settled."""
         if pending.started and pending.settled:
-            del self._pending_starts[key]
+            self._end_pending(key)
+
+    def _end_pending(self, key: SlotKey) -> None:
+        """Remove a slot from those that don't count for the mean load yet."""
+        pending = self._pending_starts.pop(key, None)
+        if pending is not None:
             _decrease(self._pending_counts, pending.target, 1)
+            _decrease(self._router_pending, (key[0], pending.target), 1)
 
     def replace(
         self, router: str, held: dict[int, Slot], started: set[int]
@@ -385,7 +423,7 @@
 
 
 def _decrease(
-    counter: "collections.Counter[str]", key: str, amount: int
+    counter: "collections.Counter[CounterKey]", key: CounterKey, amount: int
 ) -> None:
     counter[key] -= amount
     if counter[key] <= 0:
--- a/src/bulrushdale/fleet/link.py
+++ b/src/bulrushdale/fleet/link.py
@@ -6,6 +6,17 @@
 from bulrushdale.control import control_pb2 as pb
 from bulrushdale.fleet import members as members_module
 
+# A peer is silent after this multiple of its mean time between frames, and
+# not before a minimum time. With frames that arrive at random, a peer that is
+# well is silent 0.3% of the time.
+SILENCE_MULTIPLE = 8
+MIN_SILENCE_MS = 150
+INITIAL_FRAME_GAP_MS = 100.0
+FRAME_GAP_SMOOTHING = 0.1
+# How long a peer stays silent after its first frame: it may have yet to tell
+# of what happened meanwhile.
+RECOVERY_MS = 100
+
 
 class Link:
     """One end of the stream to a peer.
@@ -23,6 +34,8 @@
     __slots__ = (
         "peer",
         "last_received_ms",
+        "_mean_gap_ms",
+        "_recovered_ms",
         "echo_ms",
         "peer_clock_ms",
         "bytes_in",
@@ -36,6 +49,8 @@
     def __init__(self, peer: members_module.Member, now_ms: int) -> None:
         self.peer = peer
         self.last_received_ms = now_ms
+        self._mean_gap_ms = INITIAL_FRAME_GAP_MS
+        self._recovered_ms = now_ms
         self.echo_ms: int | None = None
         self.peer_clock_ms = 0
         self.bytes_in = 0
@@ -45,6 +60,34 @@
         self._pending = pb.Frame()
         self._wake = asyncio.Event()
 
+    def record_frame(self, now_ms: int) -> None:
+        """Record the arrival of a frame.
+
+        :param now_ms: the current time, in ms of the clock.
+        """
+        limit_ms = self._max_gap_ms()
+        gap_ms = now_ms - self.last_received_ms
+        if gap_ms > limit_ms:
+            self._recovered_ms = now_ms + RECOVERY_MS
+        self._mean_gap_ms += FRAME_GAP_SMOOTHING * (
+            min(gap_ms, limit_ms) - self._mean_gap_ms
+        )
+        self.last_received_ms = now_ms
+        self.peer.last_received_ms = now_ms
+
+    def is_silent(self, now_ms: int) -> bool:
+        """Return whether the peer may have stood still until now.
+
+        :param now_ms: the current time, in ms of the clock.
+        """
+        return (
+            now_ms < self._recovered_ms
+            or now_ms - self.last_received_ms > self._max_gap_ms()
+        )
+
+    def _max_gap_ms(self) -> float:
+        return max(MIN_SILENCE_MS, SILENCE_MULTIPLE * self._mean_gap_ms)
+
     def queue(self) -> pb.Frame:
         """Return the next outgoing frame, to add messages to it."""
         self._wake.set()
--- a/src/bulrushdale/fleet/links.py
+++ b/src/bulrushdale/fleet/links.py
@@ -312,8 +312,7 @@
         while frame is not None:
             link.bytes_in += frame.ByteSize() + FRAME_OVERHEAD_BYTES
             link.frames_in += 1
-            link.last_received_ms = self._clock.now_ms()
-            link.peer.last_received_ms = link.last_received_ms
+            link.record_frame(self._clock.now_ms())
             if frame.HasField("heartbeat") and frame is not first:
                 self._apply_heartbeat(link, frame.heartbeat)
             self._handlers.frame_received(link, frame)
--- a/tests/slot_network.py
+++ b/tests/slot_network.py
@@ -312,8 +312,7 @@
                 continue
             if link is None:
                 continue
-            link.last_received_ms = self.clock.now_ms()
-            link.peer.last_received_ms = link.last_received_ms
+            link.record_frame(self.clock.now_ms())
             if frame.HasField("heartbeat"):
                 apply_heartbeat = links_module.Links._apply_heartbeat
                 # This network has no real Links object; the method only reads
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -86,6 +86,49 @@
     assert link.closed.is_set()
 
 
+def exchange(link, clock, count: int, gap_ms: int) -> None:
+    for _ in range(count):
+        clock.advance(gap_ms)
+        link.record_frame(clock.now_ms())
+
+
+@pytest.mark.parametrize(
+    ("gap_ms", "heard_ms", "silent_ms"),
+    [(10, 150, 151), (50, 350, 450), (1_200, 5_000, 9_700)],
+)
+async def test_peer_is_silent_after_several_mean_gaps(
+    own_links, clock, gap_ms: int, heard_ms: int, silent_ms: int
+) -> None:
+    """A peer that sends heartbeats only isn't silent between two of them."""
+    link = own_links._open(hello())
+    exchange(link, clock, 60, gap_ms)
+    clock.advance(heard_ms)
+    assert not link.is_silent(clock.now_ms())
+    clock.advance(silent_ms - heard_ms)
+    assert link.is_silent(clock.now_ms())
+
+
+async def test_peer_stays_silent_while_it_recovers(own_links, clock) -> None:
+    """Its first frame may be older than what it has yet to tell."""
+    link = own_links._open(hello())
+    exchange(link, clock, 60, 10)
+    exchange(link, clock, 1, 900)
+    exchange(link, clock, 9, 11)
+    assert link.is_silent(clock.now_ms())
+    exchange(link, clock, 1, 1)
+    assert not link.is_silent(clock.now_ms())
+
+
+async def test_one_silence_hides_no_other(own_links, clock) -> None:
+    link = own_links._open(hello())
+    exchange(link, clock, 60, 10)
+    exchange(link, clock, 1, 3_000)
+    exchange(link, clock, 11, 10)
+    assert not link.is_silent(clock.now_ms())
+    clock.advance(300)
+    assert link.is_silent(clock.now_ms())
+
+
 async def test_messages_between_two_writes_share_one_frame(own_links) -> None:
     link = own_links._open(hello())
     link.queue().releases.append(1)
--- a/tests/test_proof_bound.py
+++ b/tests/test_proof_bound.py
@@ -29,7 +29,13 @@
 
 
 @pytest.mark.parametrize(
-    "trace", ["bound_surge", "bound_home_frozen", "bound_home_killed"]
+    "trace",
+    [
+        "bound_surge",
+        "bound_router_stalls",
+        "bound_home_frozen",
+        "bound_home_killed",
+    ],
 )
 async def test_trace(up: deployment.Deployment, trace: str) -> None:
     await up.wait_ready()
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -26,6 +26,7 @@
         self.promise = entries.Promise(least_bound=2, team_share=1.0)
         self.quorum = bound.QuorumState(True, True, 0)
         self.limits: dict[str, tuple[int, int]] = {}
+        self.silent: set[str] = set()
         self.targets = [
             targets.Target(
                 f"engine-{number}",
@@ -49,6 +50,7 @@
             send_reply=self.send_reply,
             clock=clock,
             rng=random.Random(1),
+            silent=lambda: self.silent,
         )
 
     def send_reply(
@@ -146,6 +148,66 @@
     assert len(harness.granted()) > 8
 
 
+@pytest.mark.parametrize(("silent", "most"), [(False, 8), (True, 3)])
+def test_slots_of_silent_router_do_not_raise_bound(
+    harness: Harness, silent: bool, most: int
+) -> None:
+    """Its answers may have ended, and nobody tells before it goes on."""
+    held = {seq: f"engine-{1 + seq % 3}" for seq in range(18)}
+    attach(harness, "router-1", held)
+    harness.advance(50)
+    if silent:
+        harness.silent = {"router-1"}
+    for _ in range(9):
+        harness.submit()
+    # The bound of the mean of all 27, and that of the nine alone.
+    assert harness.scheduler.loads()["engine-0"] == most
+
+
+def test_silent_router_does_not_starve_others(harness: Harness) -> None:
+    """Their load grows as from idle, beside slots above the least bound."""
+    attach(harness, "router-1", {n: f"engine-{n % 4}" for n in range(16)})
+    harness.silent = {"router-1"}
+    for _ in range(24):
+        harness.submit()
+    assert len(harness.granted()) == 24
+
+
+def test_silent_router_does_not_starve_last_target(harness: Harness) -> None:
+    del harness.targets[1:]
+    attach(harness, "router-1", dict.fromkeys(range(5), "engine-0"))
+    harness.silent = {"router-1"}
+    for _ in range(5):
+        harness.submit()
+    assert len(harness.granted()) == 5
+
+
+def test_silent_and_lost_routers_do_not_starve_others(
+    harness: Harness,
+) -> None:
+    attach(harness, "router-1", {n: f"engine-{n % 4}" for n in range(16)})
+    attach(harness, "router-2", {n: f"engine-{n}" for n in range(4)})
+    harness.advance(50)
+    harness.scheduler.orphan("router-2", harness.clock.now_ms() + 20_000)
+    harness.silent = {"router-1"}
+    for _ in range(12):
+        harness.submit()
+    assert len(harness.granted()) == 12
+
+
+def test_unstarted_grants_of_silent_router_starve_nobody(
+    harness: Harness,
+) -> None:
+    harness.mark_started = lambda: None
+    for _ in range(4):
+        harness.submit()
+    harness.silent = {"router-0"}
+    attach(harness, "router-1", {n: f"engine-{n % 4}" for n in range(8)})
+    harness.advance(50)
+    harness.submit()
+    assert len(harness.granted()) == 5
+
+
 def test_short_requests_leave_no_load(harness: Harness) -> None:
     for _ in range(50):
         harness.clock.advance(100)
--- a/tests/test_slot_client.py
+++ b/tests/test_slot_client.py
@@ -1,6 +1,8 @@
 """Slots across several routers: the bound holds if routers disagree."""
 
+import collections
 from collections import abc
+import math
 
 from hypothesis import settings
 from hypothesis import stateful
@@ -172,6 +174,21 @@
     assert scheduler.in_flight == left
 
 
+def test_ended_answers_of_frozen_router_do_not_raise_bound(network) -> None:
+    home = coordinator(network, "router-0")
+    frozen, other = (name for name in NAMES if name != home)
+    surge(network, frozen, 15)
+    network.nodes[frozen].frozen = True
+    network.step(900)
+    for _ in range(12):
+        # All of one prefix.
+        surge(network, other, 1)
+    loads = collections.Counter(g.target for g in network.nodes[other].grants)
+    assert loads.total() == 12
+    assert max(loads.values()) <= math.ceil(1.25 * 12 / 3)
+    assert network.violations == []
+
+
 class Fleet(stateful.RuleBasedStateMachine):
     """Partitions, freezes, delays and surges in any order."""
 
