Grant nothing while a coordinator recovers from a standstill

What was seen: where the coordinator itself stands still for 0.9 s, starts at 3 above 2 as it goes on, allowed by the mean last 0.8 s before.

Cause: answers of its own router have ended meanwhile, and releases of others wait in its sockets. It handles a request first and grants by what it counted before. That its peers are silent by then limits this, but its own router never is.

Now a coordinator that hasn't checked its quorum for 250 ms, which each tick does every 100 ms, grants nothing for 100 ms; requests wait in the queue, and nothing is refused for it.

--- a/src/bulrushdale/admission/bound.py
+++ b/src/bulrushdale/admission/bound.py
@@ -37,11 +37,14 @@
         the targets' own reports have to be counted as well.
     :param tenure_start_ms: when its tenure started, in ms of the clock; an
         older report may miss what the previous coordinator granted.
+    :param recovering: whether the coordinator stood still until just now; it
+        grants nothing before it has handled what arrived meanwhile.
     """
 
     majority: bool
     complete: bool
     tenure_start_ms: int
+    recovering: bool = False
 
 
 def has_majority(attached: abc.Set[str], all_routers: abc.Set[str]) -> bool:
--- a/src/bulrushdale/admission/scheduler.py
+++ b/src/bulrushdale/admission/scheduler.py
@@ -204,12 +204,12 @@
     def _measure_capacity(self, targets: Targets) -> capacity_module.Capacity:
         """Return the maximum loads, the bounds and the free targets.
 
-        All of them are empty without a majority. A new tenure clears the
-        upper limits of the external loads.
+        All of them are empty without a majority, and while the coordinator
+        recovers. A new tenure clears the upper limits of the external loads.
         """
         self._slot_table.settle_grants()
         quorum = self._quorum()
-        if not targets or not quorum.majority:
+        if not targets or not quorum.majority or quorum.recovering:
             return capacity_module.Capacity({}, {}, [])
         self._slot_table.apply_tenure(quorum)
         loads = {
--- a/src/bulrushdale/admission/schedulers.py
+++ b/src/bulrushdale/admission/schedulers.py
@@ -13,6 +13,7 @@
 from bulrushdale.admission import session as session_module
 from bulrushdale.admission import slot_table
 from bulrushdale.control import control_pb2 as pb
+from bulrushdale.fleet import link as link_module
 from bulrushdale.fleet import targets as targets_module
 from bulrushdale import hashing
 
@@ -22,6 +23,9 @@
 STOPPED_ROUTER_KEEP_MS = 5_000
 UNREACHABLE_ROUTER_KEEP_MS = 20_000
 QUORUM_REFRESH_MS = 5
+# A coordinator that hasn't checked its quorum for this long stood still, as
+# each tick does; a tick is due every 100 ms.
+STANDSTILL_MS = 250
 # How long answers of a lost router may run on without anyone holding a slot
 # for them.
 ORPHAN_MEMORY_MS = 20_000
@@ -59,6 +63,8 @@
         self._quorums: dict[
             session_module.ShardKey, tuple[int, bound.QuorumState]
         ] = {}
+        # Until when this coordinator recovers, in ms of the clock.
+        self._recovered_ms: dict[session_module.ShardKey, int] = {}
         # When the links to routers were lost that are not known to have
         # stopped, in ms of the clock.
         self._lost_ms: dict[str, int] = {}
@@ -143,10 +149,13 @@
         tenure_start_ms = (
             known[1].tenure_start_ms if known and continues else now_ms
         )
+        if known is not None and now_ms - known[0] >= STANDSTILL_MS:
+            self._recovered_ms[key] = now_ms + link_module.RECOVERY_MS
         return bound.QuorumState(
             majority,
             no_recent_loss and attached == all_routers,
             tenure_start_ms,
+            now_ms < self._recovered_ms.get(key, 0),
         )
 
     def _expire_quorum(self, key: session_module.ShardKey) -> None:
--- a/tests/test_proof_bound.py
+++ b/tests/test_proof_bound.py
@@ -33,6 +33,7 @@
     [
         "bound_surge",
         "bound_router_stalls",
+        "bound_home_stalls",
         "bound_home_frozen",
         "bound_home_killed",
     ],
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -208,6 +208,15 @@
     assert len(harness.granted()) == 5
 
 
+def test_recovering_coordinator_queues_requests(harness: Harness) -> None:
+    harness.quorum = bound.QuorumState(True, True, 0, recovering=True)
+    seq = harness.submit()
+    assert seq not in harness.replies
+    harness.quorum = bound.QuorumState(True, True, 0)
+    harness.advance(20)
+    assert harness.replies[seq].code == 0
+
+
 def test_short_requests_leave_no_load(harness: Harness) -> None:
     for _ in range(50):
         harness.clock.advance(100)
--- a/tests/test_slot_client.py
+++ b/tests/test_slot_client.py
@@ -189,6 +189,29 @@
     assert network.violations == []
 
 
+def test_coordinator_that_stood_still_learns_of_ends_before_it_grants(
+    network,
+) -> None:
+    home = coordinator(network, "router-0")
+    ended, other = (name for name in NAMES if name != home)
+    surge(network, ended, 12)
+    surge(network, other, 12)
+    network.nodes[home].frozen = True
+    network.step(900)
+    for _ in range(12):
+        network.release(ended)
+    for _ in range(4):
+        network.request_slot(other, 0)
+    network.nodes[home].frozen = False
+    granted = network.granted
+    network.flush(other, home)
+    network.handle_frames(home, other)
+    assert network.granted == granted
+    network.step(200)
+    assert held(network) == 16
+    assert network.violations == []
+
+
 class Fleet(stateful.RuleBasedStateMachine):
     """Partitions, freezes, delays and surges in any order."""
 
