--- a/review/loopback.py
+++ b/review/loopback.py
@@ -15,7 +15,6 @@
 import shlex
 import signal
 import socket
-import struct
 import sys
 import tempfile
 import time
@@ -106,14 +105,6 @@
     return f"{line}\r\n{fields}\r\n".encode("latin-1")
 
 
-def set_reset_on_close(writer):
-    sock = writer.get_extra_info("socket")
-    if sock is not None:
-        sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-        )
-
-
 # The platform's store.
 
 
@@ -127,7 +118,6 @@
         self._server = None
         self._writers = set()
         self.address = ""
-        self.down = False
 
     async def start(self, ip="127.0.0.1"):
         port = free_port(ip)
@@ -193,8 +183,6 @@
             writer.close()
 
     async def _respond(self, call, fields, body):
-        if self.down:
-            return "503 Service Unavailable", b"{}"
         topic = fields["topic"]
         records = self._topics.setdefault(topic, [])
         if call == "log-append":
@@ -324,8 +312,8 @@
                 if await self._respond(request, writer) is False:
                     break
                 await writer.drain()
-        except (OSError, asyncio.IncompleteReadError) as error:
-            del error
+        except (OSError, asyncio.IncompleteReadError):
+            pass
         finally:
             writer.close()
 
@@ -352,6 +340,7 @@
         self._store_address = store_address
         self._seeds = seeds
         self._more = more
+        self._link_port = more["link_port"]
         self.front_port = free_port(ip)
         self.ready_port = free_port(ip)
         self.process = None
@@ -384,8 +373,7 @@
             "ip": self.ip,
             "zone": self._more.get("zone", "zone-a"),
             "region": "region",
-            "internal_ports": [self._more["link_port"]] * 1
-            + [self._more["link_port"] + 15],
+            "internal_ports": [self._link_port, self._link_port + 15],
             "seeds": [f"{ip}:1" for ip in self._seeds],
             "bootstrap": self._starts == 0,
             "heartbeat_ms": 1200,
@@ -399,7 +387,9 @@
             "bounds": bounds,
             "platform": {"address": self._store_address, "form": "log"},
         }
-        lines = [f"{name} = {json.dumps(value)}" for name, value in top.items()]
+        lines = [
+            f"{name} = {json.dumps(value)}" for name, value in top.items()
+        ]
         for table, fields in tables.items():
             lines.append(f"[{table}]")
             lines += [f"{n} = {json.dumps(v)}" for n, v in fields.items()]
@@ -473,9 +463,6 @@
             self.process.kill()
             await self.process.wait()
 
-    def log(self):
-        return (self._folder / f"{self.name}.log").read_text()
-
 
 class Deployment:
     """The store, servers and routers of a case."""
